--- /dev/null
+++ b/behaviour.go
@@ -0,0 +1,169 @@
+package jackdawbridge
+
+import "context"
+
+// Reducer makes every decision of a node. It is not safe for concurrent use.
+type Reducer interface {
+	// Apply changes the state by one event and adds the effects that follow.
+	Apply(event Event, effects *Effects)
+	// Wake returns when the next Tick is due.
+	Wake() Millis
+}
+
+// Store is the platform's key-value service.
+type Store interface {
+	// Load reads a record. A record that does not exist has version 0.
+	Load(ctx context.Context, name RecordName) (Record, error)
+	// Swap changes a record if it has the given version, 0 for one that does
+	// not exist, and returns the new version. A nil value removes the record.
+	// A lease above 0 removes the record when the lease ends.
+	// The error is ErrConflict if the record has another version.
+	Swap(ctx context.Context, name RecordName, version uint64, value Value, lease Millis) (uint64, error)
+	// Watch waits until a record has a version other than the given one and
+	// returns it.
+	Watch(ctx context.Context, name RecordName, version uint64) (Record, error)
+}
+
+// Transport carries messages between nodes.
+type Transport interface {
+	// Send sends a frame without waiting. A frame may be lost.
+	Send(to Peer, frame Frame) error
+	// Close ends the transport.
+	Close() error
+}
+
+// Codec translates frames, envelopes and stored values to bytes and back.
+// Decoding fails on any input that does not keep the invariants of the types.
+type Codec interface {
+	EncodeFrame(frame Frame) ([]byte, error)
+	DecodeFrame(data []byte) (Frame, error)
+	EncodeEnvelope(envelope Envelope) ([]byte, error)
+	DecodeEnvelope(data []byte) (Envelope, error)
+	EncodeValue(value Value) ([]byte, error)
+	DecodeValue(name RecordName, data []byte) (Value, error)
+}
+
+// Candidate is an upstream as a Picker sees it.
+type Candidate struct {
+	inFlight int    // own calls that have not ended
+	latency  Millis // smoothed time of own calls, 0 when unknown
+	failures int    // own failures in a row
+	slots    int    // at least 1
+	warmth   int    // permille of full weight, from 1 to 1000
+}
+
+// NewCandidate returns a candidate with its own observations.
+func NewCandidate(inFlight int, latency Millis, failures, slots, warmth int) Candidate {
+	return Candidate{inFlight: inFlight, latency: latency, failures: failures, slots: slots, warmth: warmth}
+}
+
+// InFlight returns the own calls that have not ended.
+func (c Candidate) InFlight() int { return c.inFlight }
+
+// Latency returns the smoothed time of own calls, 0 when unknown.
+func (c Candidate) Latency() Millis { return c.latency }
+
+// Failures returns the own failures in a row.
+func (c Candidate) Failures() int { return c.failures }
+
+// Slots returns how many requests the upstream takes at once.
+func (c Candidate) Slots() int { return c.slots }
+
+// Warmth returns the weight of a ramping upstream in permille.
+func (c Candidate) Warmth() int { return c.warmth }
+
+// Picker chooses among upstreams.
+type Picker interface {
+	// Pick returns the index of the chosen candidate. There is at least one.
+	// The draw is a uniform random number.
+	Pick(candidates []Candidate, draw uint64) int
+}
+
+// Sample is what a Limiter learns from one ended run.
+type Sample struct {
+	latency  Millis
+	inFlight int // runs when this one began, itself included
+	dropped  bool
+}
+
+// NewSample returns the sample of a run. A dropped run ended by timeout or failure.
+func NewSample(latency Millis, inFlight int, dropped bool) Sample {
+	return Sample{latency: latency, inFlight: inFlight, dropped: dropped}
+}
+
+// Latency returns how long the run took.
+func (s Sample) Latency() Millis { return s.latency }
+
+// InFlight returns the runs when this one began, itself included.
+func (s Sample) InFlight() int { return s.inFlight }
+
+// Dropped reports whether the run ended by timeout or failure.
+func (s Sample) Dropped() bool { return s.dropped }
+
+// Limiter adapts the concurrency of a backend server.
+type Limiter interface {
+	// Limit returns how many runs may go on at once, from 1 to the slots.
+	Limit() int
+	// Observe learns from a run that ended.
+	Observe(at Millis, sample Sample)
+	// Resize changes the slots, at least 1.
+	Resize(slots int)
+}
+
+// Waiting is a call in a Queue.
+type Waiting struct {
+	call     CallID
+	account  AccountName
+	rank     Level
+	bought   bool
+	depth    int
+	arrived  Millis
+	deadline Millis
+}
+
+// NewWaiting returns a call that waits from arrived until deadline.
+func NewWaiting(call CallID, envelope Envelope, arrived, deadline Millis) Waiting {
+	return Waiting{
+		call: call, account: envelope.account, rank: Rank(envelope.criticality, envelope.bought),
+		bought: envelope.bought, depth: envelope.depth, arrived: arrived, deadline: deadline,
+	}
+}
+
+// Call returns the call.
+func (w Waiting) Call() CallID { return w.call }
+
+// Account returns the client account of the call.
+func (w Waiting) Account() AccountName { return w.account }
+
+// Rank returns the importance of the call.
+func (w Waiting) Rank() Level { return w.rank }
+
+// Bought reports whether the account has paid priority.
+func (w Waiting) Bought() bool { return w.bought }
+
+// Depth returns the depth of the call.
+func (w Waiting) Depth() int { return w.depth }
+
+// Arrived returns when the call began to wait.
+func (w Waiting) Arrived() Millis { return w.arrived }
+
+// Deadline returns when the call must be answered.
+func (w Waiting) Deadline() Millis { return w.deadline }
+
+// Queue orders the calls that wait for a slot.
+type Queue interface {
+	// Push adds a call. If the queue is full it returns the call that is shed
+	// for it, which may be the same one.
+	Push(at Millis, w Waiting) (shed Waiting, full bool)
+	// Pop removes and returns the next call to run.
+	Pop(at Millis) (w Waiting, ok bool)
+	// Expire removes and returns a call that cannot meet its deadline any more
+	// if a run takes as long as need.
+	Expire(at Millis, need Millis) (w Waiting, ok bool)
+	// Remove removes a call and reports whether it was waiting.
+	Remove(call CallID) bool
+	// Len returns how many calls wait.
+	Len() int
+	// Level returns the rank below which calls are not admitted at present.
+	Level(at Millis) Level
+}
--- /dev/null
+++ b/config.go
@@ -0,0 +1,226 @@
+package jackdawbridge
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Criticality orders requests by the harm that refusing them causes.
+type Criticality uint8
+
+// The criticalities, from the first to be shed to the last.
+const (
+	Sheddable Criticality = iota
+	Normal
+	High
+	Critical
+)
+
+// String returns the criticality in lower case.
+func (c Criticality) String() string {
+	return nameOf(c, "sheddable", "normal", "high", "critical")
+}
+
+// ParseCriticality returns the criticality with the given name.
+func ParseCriticality(name string) (Criticality, error) {
+	for c := Sheddable; c <= Critical; c++ {
+		if c.String() == name {
+			return c, nil
+		}
+	}
+	return 0, errors.Errorf("criticality %q: want sheddable, normal, high or critical", name)
+}
+
+// Share is the part of a client account's rate and burst that one data centre
+// starts with.
+type Share struct {
+	dataCentre DataCentre
+	permille   int // from 1 to 1000
+}
+
+// NewShare returns the share of a data centre in thousandths.
+func NewShare(dataCentre DataCentre, permille int) (Share, error) {
+	if permille < 1 || permille > 1000 {
+		return Share{}, errors.Errorf("share of data centre %s is %d permille: want 1 to 1000", dataCentre, permille)
+	}
+	return Share{dataCentre: dataCentre, permille: permille}, nil
+}
+
+// DataCentre returns the data centre of s.
+func (s Share) DataCentre() DataCentre { return s.dataCentre }
+
+// Permille returns the size of s in thousandths.
+func (s Share) Permille() int { return s.permille }
+
+// Account is a client account as configured.
+type Account struct {
+	name        AccountName
+	rate        int64   // requests per second over the fleet, at least 1
+	burst       int64   // requests over the fleet, at least 1
+	bought      bool    // has paid priority
+	unconfirmed bool    // is served while its keys cannot be confirmed with the platform
+	shares      []Share // sum to 1000 permille, one for each data centre at most
+}
+
+// NewAccount returns a client account with the given rate per second, burst
+// and base shares.
+func NewAccount(name AccountName, rate, burst int64, shares []Share) (*Account, error) {
+	if name == "" {
+		return nil, errors.New("account has no name")
+	}
+	if rate < 1 || burst < 1 {
+		return nil, errors.Errorf("account %s has rate %d and burst %d: want at least 1 each", name, rate, burst)
+	}
+	sum := 0
+	for i, s := range shares {
+		sum += s.permille
+		if slices.ContainsFunc(shares[:i], func(o Share) bool { return o.dataCentre == s.dataCentre }) {
+			return nil, errors.Errorf("account %s has two shares for data centre %s: want one", name, s.dataCentre)
+		}
+	}
+	if sum != 1000 {
+		return nil, errors.Errorf("account %s has shares of %d permille in sum: want 1000", name, sum)
+	}
+	return &Account{name: name, rate: rate, burst: burst, unconfirmed: true, shares: slices.Clone(shares)}, nil
+}
+
+// WithBought returns a copy of a with or without paid priority.
+func (a *Account) WithBought(bought bool) *Account {
+	c := *a
+	c.bought = bought
+	return &c
+}
+
+// WithUnconfirmed returns a copy of a that is served, or not, while its keys
+// cannot be confirmed with the platform.
+func (a *Account) WithUnconfirmed(serve bool) *Account {
+	c := *a
+	c.unconfirmed = serve
+	return &c
+}
+
+// Name returns the name of a.
+func (a *Account) Name() AccountName { return a.name }
+
+// Rate returns the requests per second of a over the fleet.
+func (a *Account) Rate() int64 { return a.rate }
+
+// Burst returns the burst of a over the fleet, in requests.
+func (a *Account) Burst() int64 { return a.burst }
+
+// Bought reports whether a has paid priority.
+func (a *Account) Bought() bool { return a.bought }
+
+// ServeUnconfirmed reports whether a is served while its keys cannot be
+// confirmed with the platform.
+func (a *Account) ServeUnconfirmed() bool { return a.unconfirmed }
+
+// Shares returns the base shares of a. The caller must not change them.
+func (a *Account) Shares() []Share { return a.shares }
+
+// Route is a set of requests of a service that are treated alike.
+type Route struct {
+	prefix      string   // of the path, starts with a slash
+	methods     []string // upper case; empty for all
+	criticality Criticality
+	idempotent  bool
+	open        bool // needs no key
+}
+
+// NewRoute returns a route for paths with the given prefix and methods.
+func NewRoute(prefix string, methods []string, criticality Criticality, idempotent, open bool) (*Route, error) {
+	if !strings.HasPrefix(prefix, "/") {
+		return nil, errors.Errorf("route prefix %q: want a leading slash", prefix)
+	}
+	if criticality > Critical {
+		return nil, errors.Errorf("route %s has criticality %d: want 0 to %d", prefix, criticality, Critical)
+	}
+	return &Route{
+		prefix: prefix, methods: slices.Clone(methods),
+		criticality: criticality, idempotent: idempotent, open: open,
+	}, nil
+}
+
+// Prefix returns the path prefix of r.
+func (r *Route) Prefix() string { return r.prefix }
+
+// Methods returns the methods of r, empty for all.
+func (r *Route) Methods() []string { return r.methods }
+
+// Criticality returns the criticality of r.
+func (r *Route) Criticality() Criticality { return r.criticality }
+
+// Idempotent reports whether requests of r may run more than once.
+func (r *Route) Idempotent() bool { return r.idempotent }
+
+// Open reports whether r needs no key.
+func (r *Route) Open() bool { return r.open }
+
+// Matches reports whether r covers the method and path.
+func (r *Route) Matches(method, path string) bool {
+	if !strings.HasPrefix(path, r.prefix) {
+		return false
+	}
+	return len(r.methods) == 0 || slices.Contains(r.methods, method)
+}
+
+// Service is a service as configured.
+type Service struct {
+	name   ServiceName
+	routes []*Route // the longest matching prefix wins
+}
+
+// NewService returns a service with the given routes.
+func NewService(name ServiceName, routes []*Route) (*Service, error) {
+	if name == "" {
+		return nil, errors.New("service has no name")
+	}
+	if len(routes) == 0 {
+		return nil, errors.Errorf("service %s has no routes: want at least one", name)
+	}
+	return &Service{name: name, routes: slices.Clone(routes)}, nil
+}
+
+// Name returns the name of s.
+func (s *Service) Name() ServiceName { return s.name }
+
+// Routes returns the routes of s. The caller must not change them.
+func (s *Service) Routes() []*Route { return s.routes }
+
+// Route returns the route with the longest prefix that covers the method and
+// path, or nil.
+func (s *Service) Route(method, path string) *Route {
+	var best *Route
+	for _, r := range s.routes {
+		if r.Matches(method, path) && (best == nil || len(r.prefix) > len(best.prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Key grants a client account to the holder of a key.
+type Key struct {
+	hash    KeyHash
+	account AccountName
+	label   string // chosen by the operator, for lists
+}
+
+// NewKey returns the grant of an account to the key with the given hash.
+func NewKey(hash KeyHash, account AccountName, label string) (*Key, error) {
+	if account == "" {
+		return nil, errors.New("key has no account")
+	}
+	return &Key{hash: hash, account: account, label: label}, nil
+}
+
+// Hash returns the hash of the key.
+func (k *Key) Hash() KeyHash { return k.hash }
+
+// Account returns the client account of k.
+func (k *Key) Account() AccountName { return k.account }
+
+// Label returns the operator's label of k.
+func (k *Key) Label() string { return k.label }
--- /dev/null
+++ b/effect.go
@@ -0,0 +1,348 @@
+package jackdawbridge
+
+import "github.com/jackdawbridge/jackdawbridge/arena"
+
+// Effect is something that the runtime does for the reducer. An effect is valid
+// until the next Reset of the Effects that hold it.
+type Effect interface{ effect() }
+
+// Forward sends a call to the node beside a backend server.
+type Forward struct {
+	call     CallID
+	attempt  int
+	target   Peer
+	envelope Envelope
+}
+
+// Call returns the call.
+func (f *Forward) Call() CallID { return f.call }
+
+// Attempt returns the number of the attempt, 1 for the first.
+func (f *Forward) Attempt() int { return f.attempt }
+
+// Target returns the node to forward to.
+func (f *Forward) Target() Peer { return f.target }
+
+// Envelope returns the envelope to send.
+func (f *Forward) Envelope() Envelope { return f.envelope }
+
+// Run hands a call to the own backend server.
+type Run struct {
+	call   CallID
+	token  Token
+	budget Millis
+}
+
+// Call returns the call.
+func (r *Run) Call() CallID { return r.call }
+
+// Token returns the token for the backend server's own calls.
+func (r *Run) Token() Token { return r.token }
+
+// Budget returns the time left to the deadline.
+func (r *Run) Budget() Millis { return r.budget }
+
+// Deliver passes the answer of an attempt, or of a run, on to the caller.
+type Deliver struct {
+	call    CallID
+	attempt int   // 0 for a run
+	level   Level // admission level of this node, for a run
+	unused  int   // retries that a run gives back
+}
+
+// Call returns the call.
+func (d *Deliver) Call() CallID { return d.call }
+
+// Attempt returns the attempt whose answer is passed on, 0 for a run.
+func (d *Deliver) Attempt() int { return d.attempt }
+
+// Level returns the admission level of this node.
+func (d *Deliver) Level() Level { return d.level }
+
+// Unused returns the retries that a run gives back.
+func (d *Deliver) Unused() int { return d.unused }
+
+// Refuse answers a call with a refusal. Nothing of the call goes on.
+type Refuse struct {
+	call    CallID
+	refusal Refusal
+	level   Level // admission level of this node
+	unused  int   // retries that are given back
+}
+
+// Call returns the call.
+func (r *Refuse) Call() CallID { return r.call }
+
+// Refusal returns the answer.
+func (r *Refuse) Refusal() Refusal { return r.refusal }
+
+// Level returns the admission level of this node.
+func (r *Refuse) Level() Level { return r.level }
+
+// Unused returns the retries that are given back.
+func (r *Refuse) Unused() int { return r.unused }
+
+// Cancel gives up an attempt or a run. Its connection is not used again.
+type Cancel struct {
+	call    CallID
+	attempt int // 0 for a run
+}
+
+// Call returns the call.
+func (c *Cancel) Call() CallID { return c.call }
+
+// Attempt returns the attempt, 0 for a run.
+func (c *Cancel) Attempt() int { return c.attempt }
+
+// Send sends a message to a peer.
+type Send struct {
+	to    Peer
+	frame Frame
+}
+
+// To returns the receiver.
+func (s *Send) To() Peer { return s.to }
+
+// Frame returns the message with its sender.
+func (s *Send) Frame() Frame { return s.frame }
+
+// Load reads a record of the platform's service. StoreLoaded answers it.
+type Load struct{ name RecordName }
+
+// Name returns the name of the record.
+func (l *Load) Name() RecordName { return l.name }
+
+// Watch waits until a record has a version other than the given one.
+// StoreLoaded answers it; the reducer asks again.
+type Watch struct {
+	name    RecordName
+	version uint64
+}
+
+// Name returns the name of the record.
+func (w *Watch) Name() RecordName { return w.name }
+
+// Version returns the version that is known.
+func (w *Watch) Version() uint64 { return w.version }
+
+// Swap changes a record if it has the given version. StoreSwapped answers it.
+type Swap struct {
+	name    RecordName
+	version uint64 // 0 for a record that does not exist
+	value   Value  // nil to remove the record
+	lease   Millis // 0 for no lease
+}
+
+// Name returns the name of the record.
+func (s *Swap) Name() RecordName { return s.name }
+
+// Version returns the version that the record must have, 0 if it must not exist.
+func (s *Swap) Version() uint64 { return s.version }
+
+// Value returns the new value, nil to remove the record.
+func (s *Swap) Value() Value { return s.value }
+
+// Lease returns how long the record lasts, 0 for always.
+func (s *Swap) Lease() Millis { return s.lease }
+
+// Part is a part of the reducer, for logs.
+type Part uint8
+
+// The parts of the reducer.
+const (
+	PartCall Part = iota
+	PartRoute
+	PartShare
+	PartAdmit
+	PartRetry
+	PartOnce
+	PartMember
+	PartSettings
+	PartAuthority
+	PartQuarantine
+	PartDrain
+)
+
+// String returns the prefix of the part's log lines.
+func (p Part) String() string {
+	return nameOf(p, "call", "route", "share", "admit", "retry", "once", "member", "settings",
+		"authority", "quarantine", "drain")
+}
+
+// Log records a decision.
+type Log struct {
+	part    Part
+	warn    bool
+	text    string    // a short sentence
+	request RequestID // empty if the decision is about no request
+	node    Node      // zero if the decision is about no node
+	detail  string    // name of an account, service or record; may be empty
+	count   int64     // a quantity that the text names; may be 0
+}
+
+// Part returns the part that decided.
+func (l *Log) Part() Part { return l.part }
+
+// Warn reports whether an operator should look at l.
+func (l *Log) Warn() bool { return l.warn }
+
+// Text returns the decision as a short sentence.
+func (l *Log) Text() string { return l.text }
+
+// Request returns the request that l is about, or "".
+func (l *Log) Request() RequestID { return l.request }
+
+// Node returns the node that l is about, or zero.
+func (l *Log) Node() Node { return l.node }
+
+// Detail returns the name that l is about, or "".
+func (l *Log) Detail() string { return l.detail }
+
+// Count returns the quantity that the text names.
+func (l *Log) Count() int64 { return l.count }
+
+// About sets the request and the node that l is about and returns l.
+func (l *Log) About(request RequestID, node Node) *Log {
+	l.request = request
+	l.node = node
+	return l
+}
+
+// With sets the name and the quantity of l and returns l.
+func (l *Log) With(detail string, count int64) *Log {
+	l.detail = detail
+	l.count = count
+	return l
+}
+
+// Exit ends the process: all calls are answered and nothing is held.
+type Exit struct{}
+
+func (*Forward) effect() {}
+func (*Run) effect()     {}
+func (*Deliver) effect() {}
+func (*Refuse) effect()  {}
+func (*Cancel) effect()  {}
+func (*Send) effect()    {}
+func (*Load) effect()    {}
+func (*Watch) effect()   {}
+func (*Swap) effect()    {}
+func (*Log) effect()     {}
+func (*Exit) effect()    {}
+
+// Effects collects the effects of one step in order. The zero value is ready
+// to use; after a few steps adding effects allocates nothing.
+type Effects struct {
+	list     []Effect
+	forwards arena.Arena[Forward]
+	runs     arena.Arena[Run]
+	delivers arena.Arena[Deliver]
+	refuses  arena.Arena[Refuse]
+	cancels  arena.Arena[Cancel]
+	sends    arena.Arena[Send]
+	loads    arena.Arena[Load]
+	watches  arena.Arena[Watch]
+	swaps    arena.Arena[Swap]
+	logs     arena.Arena[Log]
+}
+
+// All returns the effects in order. They are valid until Reset.
+func (e *Effects) All() []Effect { return e.list }
+
+// Reset drops all effects.
+func (e *Effects) Reset() {
+	clear(e.list)
+	e.list = e.list[:0]
+	e.forwards.Reset()
+	e.runs.Reset()
+	e.delivers.Reset()
+	e.refuses.Reset()
+	e.cancels.Reset()
+	e.sends.Reset()
+	e.loads.Reset()
+	e.watches.Reset()
+	e.swaps.Reset()
+	e.logs.Reset()
+}
+
+// Forward adds a Forward.
+func (e *Effects) Forward(call CallID, attempt int, target Peer, envelope Envelope) {
+	f := e.forwards.New()
+	*f = Forward{call: call, attempt: attempt, target: target, envelope: envelope}
+	e.list = append(e.list, f)
+}
+
+// Run adds a Run.
+func (e *Effects) Run(call CallID, token Token, budget Millis) {
+	r := e.runs.New()
+	*r = Run{call: call, token: token, budget: budget}
+	e.list = append(e.list, r)
+}
+
+// Deliver adds a Deliver.
+func (e *Effects) Deliver(call CallID, attempt int, level Level, unused int) {
+	d := e.delivers.New()
+	*d = Deliver{call: call, attempt: attempt, level: level, unused: unused}
+	e.list = append(e.list, d)
+}
+
+// Refuse adds a Refuse.
+func (e *Effects) Refuse(call CallID, refusal Refusal, level Level, unused int) {
+	r := e.refuses.New()
+	*r = Refuse{call: call, refusal: refusal, level: level, unused: unused}
+	e.list = append(e.list, r)
+}
+
+// Cancel adds a Cancel.
+func (e *Effects) Cancel(call CallID, attempt int) {
+	c := e.cancels.New()
+	*c = Cancel{call: call, attempt: attempt}
+	e.list = append(e.list, c)
+}
+
+// Send adds a Send.
+func (e *Effects) Send(to Peer, frame Frame) {
+	s := e.sends.New()
+	*s = Send{to: to, frame: frame}
+	e.list = append(e.list, s)
+}
+
+// Load adds a Load.
+func (e *Effects) Load(name RecordName) {
+	l := e.loads.New()
+	l.name = name
+	e.list = append(e.list, l)
+}
+
+// Watch adds a Watch.
+func (e *Effects) Watch(name RecordName, version uint64) {
+	w := e.watches.New()
+	*w = Watch{name: name, version: version}
+	e.list = append(e.list, w)
+}
+
+// Swap adds a Swap.
+func (e *Effects) Swap(name RecordName, version uint64, value Value, lease Millis) {
+	s := e.swaps.New()
+	*s = Swap{name: name, version: version, value: value, lease: lease}
+	e.list = append(e.list, s)
+}
+
+// Log adds a Log and returns it.
+func (e *Effects) Log(part Part, text string) *Log {
+	l := e.logs.New()
+	l.part = part
+	l.text = text
+	e.list = append(e.list, l)
+	return l
+}
+
+// Warn adds a Log that an operator should look at and returns it.
+func (e *Effects) Warn(part Part, text string) *Log {
+	l := e.Log(part, text)
+	l.warn = true
+	return l
+}
+
+// Exit adds an Exit.
+func (e *Effects) Exit() { e.list = append(e.list, &Exit{}) }
--- /dev/null
+++ b/message_once.go
@@ -0,0 +1,108 @@
+package jackdawbridge
+
+// Begin asks the home of an idempotency key to record the start of a request.
+type Begin struct {
+	request RequestID
+	account AccountName
+	key     string
+}
+
+// NewBegin returns the request to record a start.
+func NewBegin(request RequestID, account AccountName, key string) *Begin {
+	return &Begin{request: request, account: account, key: key}
+}
+
+// Request returns the id of the request that wants to start.
+func (b *Begin) Request() RequestID { return b.request }
+
+// Account returns the client account of the request.
+func (b *Begin) Account() AccountName { return b.account }
+
+// Key returns the idempotency key.
+func (b *Begin) Key() string { return b.key }
+
+// Begun answers a Begin.
+type Begun struct {
+	request RequestID
+	key     string
+	refused bool
+	refusal Refusal // when refused
+}
+
+// NewBegun returns the answer that the request may start.
+func NewBegun(request RequestID, key string) *Begun {
+	return &Begun{request: request, key: key}
+}
+
+// NewBegunRefused returns the answer that the request must not start.
+func NewBegunRefused(request RequestID, key string, refusal Refusal) *Begun {
+	return &Begun{request: request, key: key, refused: true, refusal: refusal}
+}
+
+// Request returns the id of the request that asked.
+func (b *Begun) Request() RequestID { return b.request }
+
+// Key returns the idempotency key.
+func (b *Begun) Key() string { return b.key }
+
+// Refusal returns why the request must not start, and whether that is so.
+func (b *Begun) Refusal() (Refusal, bool) { return b.refusal, b.refused }
+
+// Ended tells the home of an idempotency key how the request ended.
+type Ended struct {
+	request RequestID
+	account AccountName
+	key     string
+	outcome Outcome
+	status  int // when served
+}
+
+// NewEnded returns the end of a request.
+func NewEnded(request RequestID, account AccountName, key string, outcome Outcome, status int) *Ended {
+	return &Ended{request: request, account: account, key: key, outcome: outcome, status: status}
+}
+
+// Request returns the id of the request.
+func (e *Ended) Request() RequestID { return e.request }
+
+// Account returns the client account of the request.
+func (e *Ended) Account() AccountName { return e.account }
+
+// Key returns the idempotency key.
+func (e *Ended) Key() string { return e.key }
+
+// Outcome returns what is known of the request.
+func (e *Ended) Outcome() Outcome { return e.outcome }
+
+// Status returns the status of the answer, when served.
+func (e *Ended) Status() int { return e.status }
+
+// Crash tells which requests were in flight when a backend server crashed.
+type Crash struct {
+	node         Node   // whose backend server crashed
+	sequence     uint64 // of the crash at that node
+	age          Millis // time since the crash
+	fingerprints []Fingerprint
+}
+
+// NewCrash returns the report of a crash.
+func NewCrash(node Node, sequence uint64, age Millis, fingerprints []Fingerprint) *Crash {
+	return &Crash{node: node, sequence: sequence, age: age, fingerprints: fingerprints}
+}
+
+// Node returns the node whose backend server crashed.
+func (c *Crash) Node() Node { return c.node }
+
+// Sequence returns the number of the crash at its node.
+func (c *Crash) Sequence() uint64 { return c.sequence }
+
+// Age returns the time since the crash.
+func (c *Crash) Age() Millis { return c.age }
+
+// Fingerprints returns the fingerprints of what was in flight.
+func (c *Crash) Fingerprints() []Fingerprint { return c.fingerprints }
+
+func (*Begin) message() {}
+func (*Begun) message() {}
+func (*Ended) message() {}
+func (*Crash) message() {}
--- /dev/null
+++ b/queue/fifo.go
@@ -0,0 +1,54 @@
+// Package queue orders the calls that wait for a slot of a backend server.
+package queue
+
+import (
+	"slices"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// FIFO runs calls in the order of their arrival and sheds what does not fit.
+type FIFO struct {
+	waiting []jackdawbridge.Waiting // at most size
+	size    int                     // at least 1
+}
+
+// NewFIFO returns a queue for up to size calls.
+func NewFIFO(size int) *FIFO { return &FIFO{size: max(size, 1)} }
+
+// Push adds a call, or sheds it when the queue is full.
+func (q *FIFO) Push(_ jackdawbridge.Millis, w jackdawbridge.Waiting) (jackdawbridge.Waiting, bool) {
+	if len(q.waiting) >= q.size {
+		return w, true
+	}
+	q.waiting = append(q.waiting, w)
+	return jackdawbridge.Waiting{}, false
+}
+
+// Pop removes and returns the call that arrived first.
+func (q *FIFO) Pop(jackdawbridge.Millis) (jackdawbridge.Waiting, bool) {
+	if len(q.waiting) == 0 {
+		return jackdawbridge.Waiting{}, false
+	}
+	w := q.waiting[0]
+	q.waiting = slices.Delete(q.waiting, 0, 1)
+	return w, true
+}
+
+// Expire removes nothing: a FIFO runs calls whose deadline has passed.
+func (q *FIFO) Expire(_, _ jackdawbridge.Millis) (jackdawbridge.Waiting, bool) {
+	return jackdawbridge.Waiting{}, false
+}
+
+// Remove removes a call and reports whether it was waiting.
+func (q *FIFO) Remove(call jackdawbridge.CallID) bool {
+	n := len(q.waiting)
+	q.waiting = slices.DeleteFunc(q.waiting, func(w jackdawbridge.Waiting) bool { return w.Call() == call })
+	return len(q.waiting) < n
+}
+
+// Len returns how many calls wait.
+func (q *FIFO) Len() int { return len(q.waiting) }
+
+// Level returns 0: a FIFO admits every rank.
+func (q *FIFO) Level(jackdawbridge.Millis) jackdawbridge.Level { return 0 }
--- /dev/null
+++ b/record.go
@@ -0,0 +1,275 @@
+package jackdawbridge
+
+import (
+	"encoding/hex"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// RecordName names a record in the platform's service.
+type RecordName string
+
+// The names of the records.
+const (
+	ConfigTable RecordName = "config"
+	KeysTable   RecordName = "keys"
+	// RangesPrefix is followed by the name of a data centre.
+	RangesPrefix RecordName = "ranges/"
+	// SeedsPrefix is followed by the name of a data centre, a slash and a number.
+	SeedsPrefix RecordName = "seeds/"
+)
+
+// RangesRecord returns the name of the range record of a data centre.
+func RangesRecord(dc DataCentre) RecordName { return RangesPrefix + RecordName(dc) }
+
+// Value is what a record holds: a *Table, a *Ranges or a *Seed.
+type Value interface{ value() }
+
+// Record is a value as read from the platform.
+type Record struct {
+	name    RecordName
+	version uint64 // of the platform's service; 0 when the record does not exist
+	value   Value  // nil when the record does not exist
+}
+
+// NewRecord returns a record read at the given version.
+func NewRecord(name RecordName, version uint64, value Value) Record {
+	return Record{name: name, version: version, value: value}
+}
+
+// Name returns the name of r.
+func (r Record) Name() RecordName { return r.name }
+
+// Version returns the platform's version of r, 0 when r does not exist.
+func (r Record) Version() uint64 { return r.version }
+
+// Value returns the value of r, nil when r does not exist.
+func (r Record) Value() Value { return r.value }
+
+// Entry is one line of a table. Exactly one of account, service and key is set,
+// or none in a tombstone.
+type Entry struct {
+	name     string // unique in the table
+	revision uint64 // of the table when the entry last changed
+	account  *Account
+	service  *Service
+	key      *Key
+}
+
+// AccountEntry returns the entry of a client account.
+func AccountEntry(a *Account) Entry {
+	return Entry{name: "account/" + string(a.name), account: a}
+}
+
+// ServiceEntry returns the entry of a service.
+func ServiceEntry(s *Service) Entry {
+	return Entry{name: "service/" + string(s.name), service: s}
+}
+
+// KeyEntry returns the entry of a key.
+func KeyEntry(k *Key) Entry {
+	return Entry{name: KeyEntryName(k.hash), key: k}
+}
+
+// KeyEntryName returns the name of the entry of the key with the given hash.
+func KeyEntryName(hash KeyHash) string { return "key/" + hex.EncodeToString(hash[:]) }
+
+// Tombstone returns the entry that removes the entry with the given name.
+func Tombstone(name string) Entry { return Entry{name: name} }
+
+// At returns e as changed at the given revision.
+func (e Entry) At(revision uint64) Entry {
+	e.revision = revision
+	return e
+}
+
+// Name returns the name of e.
+func (e Entry) Name() string { return e.name }
+
+// Revision returns the revision of the table at which e last changed.
+func (e Entry) Revision() uint64 { return e.revision }
+
+// Account returns the client account of e, or nil.
+func (e Entry) Account() *Account { return e.account }
+
+// Service returns the service of e, or nil.
+func (e Entry) Service() *Service { return e.service }
+
+// Key returns the key of e, or nil.
+func (e Entry) Key() *Key { return e.key }
+
+// Removed reports whether e is a tombstone.
+func (e Entry) Removed() bool { return e.account == nil && e.service == nil && e.key == nil }
+
+// Table is a set of entries that changes as one. A table is immutable.
+type Table struct {
+	revision uint64  // rises with each change
+	change   string  // id of the change that made this revision
+	entries  []Entry // sorted by name; no entry has a revision above that of the table
+}
+
+// NewTable returns a table with the given entries.
+func NewTable(revision uint64, change string, entries []Entry) (*Table, error) {
+	sorted := slices.Clone(entries)
+	slices.SortFunc(sorted, func(a, b Entry) int {
+		if a.name < b.name {
+			return -1
+		}
+		if a.name > b.name {
+			return 1
+		}
+		return 0
+	})
+	for i, e := range sorted {
+		if i > 0 && sorted[i-1].name == e.name {
+			return nil, errors.Errorf("entry %s stands twice", e.name)
+		}
+		if e.revision > revision {
+			return nil, errors.Errorf("entry %s has revision %d: want at most %d", e.name, e.revision, revision)
+		}
+	}
+	return &Table{revision: revision, change: change, entries: sorted}, nil
+}
+
+func (*Table) value() {}
+
+// Revision returns the revision of t.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Change returns the id of the change that made t.
+func (t *Table) Change() string { return t.change }
+
+// Entries returns the entries of t, sorted by name. The caller must not change them.
+func (t *Table) Entries() []Entry { return t.entries }
+
+// Entry returns the entry with the given name, and whether it exists and is
+// not a tombstone.
+func (t *Table) Entry(name string) (Entry, bool) {
+	i, ok := slices.BinarySearchFunc(t.entries, name, func(e Entry, name string) int {
+		if e.name < name {
+			return -1
+		}
+		if e.name > name {
+			return 1
+		}
+		return 0
+	})
+	if !ok || t.entries[i].Removed() {
+		return Entry{}, false
+	}
+	return t.entries[i], true
+}
+
+// Since returns the entries that changed after the given revision.
+func (t *Table) Since(revision uint64) []Entry {
+	var changed []Entry
+	for _, e := range t.entries {
+		if e.revision > revision {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
+// Merge returns t at a newer revision with the given entries changed.
+func (t *Table) Merge(revision uint64, change string, changed []Entry) (*Table, error) {
+	if revision <= t.revision {
+		return nil, errors.Errorf("revision %d does not follow %d", revision, t.revision)
+	}
+	byName := make(map[string]Entry, len(t.entries)+len(changed))
+	for _, e := range t.entries {
+		byName[e.name] = e
+	}
+	for _, e := range changed {
+		byName[e.name] = e
+	}
+	entries := make([]Entry, 0, len(byName))
+	for _, e := range byName {
+		entries = append(entries, e)
+	}
+	merged, err := NewTable(revision, change, entries)
+	if err != nil {
+		return nil, errors.Errorf("merge into revision %d: %w", revision, err)
+	}
+	return merged, nil
+}
+
+// RangeCount is the number of ranges of each data centre.
+const RangeCount = 64
+
+// Ranges records which node holds each range of a data centre. It is immutable.
+type Ranges struct {
+	epoch     uint64           // rises with each change
+	pending   bool             // moved ranges are not in use yet
+	holders   [RangeCount]Node // zero where a range has no holder
+	previous  [RangeCount]Node // holders of the last settled epoch, while pending
+	witnesses []Node           // at most 5, of this epoch
+	electors  []Node           // witnesses of the last settled epoch, while pending
+}
+
+// NewRanges returns a settled record.
+func NewRanges(epoch uint64, holders [RangeCount]Node, witnesses []Node) *Ranges {
+	return &Ranges{epoch: epoch, holders: holders, witnesses: slices.Clone(witnesses)}
+}
+
+func (*Ranges) value() {}
+
+// Next returns the pending record that follows the settled record r.
+func (r *Ranges) Next(holders [RangeCount]Node, witnesses []Node) *Ranges {
+	return &Ranges{
+		epoch: r.epoch + 1, pending: true, holders: holders, previous: r.holders,
+		witnesses: slices.Clone(witnesses), electors: r.witnesses,
+	}
+}
+
+// RestorePending returns a pending record as read from the platform or a peer.
+func RestorePending(epoch uint64, holders, previous [RangeCount]Node, witnesses, electors []Node) *Ranges {
+	return &Ranges{
+		epoch: epoch, pending: true, holders: holders, previous: previous,
+		witnesses: slices.Clone(witnesses), electors: slices.Clone(electors),
+	}
+}
+
+// Settle returns r with its moved ranges in use.
+func (r *Ranges) Settle() *Ranges {
+	return &Ranges{epoch: r.epoch, holders: r.holders, witnesses: r.witnesses}
+}
+
+// Epoch returns the epoch of r.
+func (r *Ranges) Epoch() uint64 { return r.epoch }
+
+// Pending reports whether the ranges that moved are not in use yet.
+func (r *Ranges) Pending() bool { return r.pending }
+
+// Holder returns the holder of a range, zero if it has none.
+func (r *Ranges) Holder(i int) Node { return r.holders[i] }
+
+// Holders returns the holders of all ranges.
+func (r *Ranges) Holders() [RangeCount]Node { return r.holders }
+
+// Previous returns the holder of a range at the last settled epoch.
+func (r *Ranges) Previous(i int) Node {
+	if r.pending {
+		return r.previous[i]
+	}
+	return r.holders[i]
+}
+
+// Witnesses returns the witnesses of r. The caller must not change them.
+func (r *Ranges) Witnesses() []Node { return r.witnesses }
+
+// Electors returns the witnesses whose acknowledgement settles r, none once r
+// is settled. The caller must not change them.
+func (r *Ranges) Electors() []Node { return r.electors }
+
+// Seed is the leased record by which new nodes find a data centre.
+type Seed struct{ peer Peer }
+
+// NewSeed returns the seed record of a member.
+func NewSeed(peer Peer) *Seed { return &Seed{peer: peer} }
+
+func (*Seed) value() {}
+
+// Peer returns the member that s names.
+func (s *Seed) Peer() Peer { return s.peer }
--- /dev/null
+++ b/reducer/call.go
@@ -0,0 +1,343 @@
+package reducer
+
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/heap"
+	"github.com/jackdawbridge/jackdawbridge/pool"
+)
+
+// maxCalls bounds the calls in progress at an entry node.
+const maxCalls = 16384
+
+// stage is how far a call has come at its entry node.
+type stage uint8
+
+const (
+	stageToken    stage = iota // waits for a token of its client account
+	stageOnce                  // waits for the home of its idempotency key
+	stageForward               // an attempt is out
+	stageAnswered              // the answer is being passed on
+)
+
+// call is a request at its entry node.
+type call struct {
+	id        jackdawbridge.CallID
+	request   *jackdawbridge.Request
+	envelope  jackdawbridge.Envelope // budget and allowance are set at each attempt
+	deadline  jackdawbridge.Millis
+	stage     stage
+	attempt   int // attempts made
+	target    jackdawbridge.Node
+	sent      jackdawbridge.Millis // when the last attempt went out
+	allowance int                  // retries left, without what the attempt in progress has
+	given     int                  // retries given to the attempt in progress
+	parent    jackdawbridge.CallID // run whose token the request carried
+	child     bool                 // parent is set
+	begun     bool                 // the start is recorded at the home of the idempotency key
+	doubtful  bool                 // an attempt may have run
+	status    int                  // of the answer that is passed on
+}
+
+// calls is the part that follows requests at their entry node.
+type calls struct {
+	r         *Reducer
+	active    map[jackdawbridge.CallID]*call // at most maxCalls
+	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
+	free      *pool.Pool[call]
+}
+
+func newCalls(r *Reducer) calls {
+	return calls{r: r, active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
+}
+
+// arrive checks a request and starts it on its way.
+func (p *calls) arrive(e *jackdawbridge.CallArrived) {
+	request := e.Request()
+	if len(p.active) >= maxCalls {
+		p.r.fx.Refuse(e.Call(), jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded), 0, 0)
+		return
+	}
+	c := p.free.Take()
+	c.id = e.Call()
+	c.request = request
+	c.deadline = p.r.now + request.Budget()
+	p.active[c.id] = c
+	p.deadlines.Set(c.id, c.deadline)
+	if reason := p.identify(c); reason != jackdawbridge.NoReason {
+		p.refuse(c, jackdawbridge.NotRunRefusal(reason))
+		return
+	}
+	p.admit(c)
+}
+
+// identify fills in the envelope: who calls, and how the request is treated.
+func (p *calls) identify(c *call) jackdawbridge.Reason {
+	if !p.r.settings.ready() {
+		return jackdawbridge.NotReady
+	}
+	service, ok := p.r.settings.service(c.request.Service())
+	if !ok {
+		return jackdawbridge.UnknownService
+	}
+	route := service.Route(c.request.Method(), c.request.Path())
+	if route == nil {
+		return jackdawbridge.UnknownRoute
+	}
+	if c.request.Token() != (jackdawbridge.Token{}) {
+		return p.identifyChild(c, route)
+	}
+	account, bought, reason := p.r.settings.identify(c.request, route)
+	if reason != jackdawbridge.NoReason {
+		return reason
+	}
+	c.allowance = retryAllowance
+	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, c.request.Service(), route.Criticality(), c.request.Budget()).
+		WithBought(bought).
+		WithIdempotent(route.Idempotent())
+	return jackdawbridge.NoReason
+}
+
+// identifyChild fills in the envelope of a call that a backend server makes for
+// the request it runs. It inherits account, importance, deadline and allowance.
+func (p *calls) identifyChild(c *call, route *jackdawbridge.Route) jackdawbridge.Reason {
+	parent, ok := p.r.runs.byToken(c.request.Token())
+	if !ok {
+		return jackdawbridge.InvalidToken
+	}
+	if parent.envelope.Depth() >= jackdawbridge.MaxDepth {
+		return jackdawbridge.TooDeep
+	}
+	c.child = true
+	c.parent = parent.id
+	c.allowance = parent.lend()
+	c.deadline = min(c.deadline, parent.deadline)
+	p.deadlines.Set(c.id, c.deadline)
+	c.envelope = parent.envelope.
+		WithService(c.request.Service()).
+		WithDepth(parent.envelope.Depth() + 1).
+		WithIdempotent(route.Idempotent())
+	return jackdawbridge.NoReason
+}
+
+// admit passes the checks that may refuse or delay a request.
+func (p *calls) admit(c *call) {
+	verdict := p.r.quarantine.check(p.fingerprint(c))
+	if verdict == verdictRefuse {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Quarantined))
+		return
+	}
+	c.envelope = c.envelope.WithFingerprint(p.fingerprint(c), verdict == verdictAlone)
+	if c.child {
+		p.start(c)
+		return
+	}
+	if p.r.routes.sheds(c.envelope) {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded))
+		return
+	}
+	if c.envelope.Account() == "" {
+		p.start(c)
+		return
+	}
+	c.stage = stageToken
+	p.r.shares.take(c.id, c.envelope.Account())
+}
+
+// funded goes on with a call whose account has paid for it.
+func (p *calls) funded(id jackdawbridge.CallID) {
+	if c, ok := p.active[id]; ok && c.stage == stageToken {
+		p.start(c)
+	}
+}
+
+// unfunded refuses a call whose account is over its rate.
+func (p *calls) unfunded(id jackdawbridge.CallID, after jackdawbridge.Millis) {
+	if c, ok := p.active[id]; ok && c.stage == stageToken {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.OverRate).WithRetryAfter(after))
+	}
+}
+
+// start records the start of a request that must run at most once, and
+// forwards any other.
+func (p *calls) start(c *call) {
+	if c.envelope.Idempotent() || c.request.Idempotency() == "" {
+		p.forward(c)
+		return
+	}
+	c.stage = stageOnce
+	p.r.once.begin(c.id, c.request.ID(), c.envelope.Account(), c.request.Idempotency())
+}
+
+// recorded goes on with a call whose start is recorded at its home.
+func (p *calls) recorded(id jackdawbridge.CallID) {
+	if c, ok := p.active[id]; ok && c.stage == stageOnce {
+		c.begun = true
+		p.forward(c)
+	}
+}
+
+// unrecorded refuses a call that its home does not let start.
+func (p *calls) unrecorded(id jackdawbridge.CallID, refusal jackdawbridge.Refusal) {
+	if c, ok := p.active[id]; ok && c.stage == stageOnce {
+		p.refuse(c, refusal)
+	}
+}
+
+// forward sends the next attempt to an upstream.
+func (p *calls) forward(c *call) {
+	target, ok := p.r.routes.pick(c.envelope.Service(), c.target)
+	if !ok {
+		p.refuse(c, p.failure(c, jackdawbridge.NoUpstream))
+		return
+	}
+	c.stage = stageForward
+	c.attempt++
+	c.target = target.Node()
+	c.sent = p.r.now
+	c.given = subtreeAllowance(c.allowance)
+	c.allowance -= c.given
+	envelope := c.envelope.WithBudget(c.deadline - p.r.now).WithAllowance(c.given)
+	p.r.routes.began(c.target)
+	p.r.fx.Forward(c.id, c.attempt, target, envelope)
+	p.r.fx.Log(jackdawbridge.PartRoute, "forwarded to").About(c.request.ID(), c.target).With(string(c.envelope.Service()), int64(c.attempt))
+}
+
+// answered decides what becomes of an attempt that was answered or failed.
+func (p *calls) answered(e *jackdawbridge.AttemptAnswered) {
+	c, ok := p.active[e.Call()]
+	if !ok || c.stage != stageForward || e.Attempt() != c.attempt {
+		return
+	}
+	p.r.routes.ended(c.target, p.r.now-c.sent, e.Outcome(), e.Reason())
+	p.r.routes.learn(c.target, c.envelope.Service(), e.Level())
+	if e.Refused() {
+		p.r.members.refused(c.target)
+	}
+	c.allowance += min(e.Unused(), c.given)
+	c.given = 0
+	if e.Outcome() == jackdawbridge.Served {
+		c.stage = stageAnswered
+		c.status = e.Status()
+		p.r.fx.Deliver(c.id, c.attempt, 0, 0)
+		return
+	}
+	c.doubtful = c.doubtful || e.Outcome() == jackdawbridge.Unknown
+	if mayRetry(c, e.Outcome()) && c.deadline > p.r.now {
+		c.allowance--
+		p.r.fx.Log(jackdawbridge.PartRetry, "retries, retries left").About(c.request.ID(), c.target).With(e.Reason().String(), int64(c.allowance))
+		p.forward(c)
+		return
+	}
+	p.refuse(c, p.failure(c, e.Reason()))
+}
+
+// finished ends a call whose answer was passed on.
+func (p *calls) finished(e *jackdawbridge.CallFinished) {
+	c, ok := p.active[e.Call()]
+	if !ok {
+		return
+	}
+	outcome := jackdawbridge.Served
+	if !e.Whole() {
+		outcome = jackdawbridge.Unknown
+	}
+	p.end(c, outcome)
+}
+
+// cancelled gives up a call whose caller is gone.
+func (p *calls) cancelled(id jackdawbridge.CallID) {
+	c, ok := p.active[id]
+	if !ok {
+		return
+	}
+	p.abandon(c)
+	p.end(c, p.failure(c, jackdawbridge.Cancelled).Outcome())
+}
+
+// refuse answers a call with a refusal and ends it.
+func (p *calls) refuse(c *call, refusal jackdawbridge.Refusal) {
+	p.r.fx.Refuse(c.id, refusal, 0, 0)
+	p.r.fx.Log(jackdawbridge.PartCall, "refused").About(c.request.ID(), c.target).With(refusal.Reason().String(), 0)
+	p.end(c, refusal.Outcome())
+}
+
+// failure returns the refusal of a call that got no answer. It says "not run"
+// only if no attempt can have reached a backend server.
+func (p *calls) failure(c *call, reason jackdawbridge.Reason) jackdawbridge.Refusal {
+	if c.doubtful || c.stage == stageAnswered {
+		return jackdawbridge.UnknownRefusal(reason)
+	}
+	return jackdawbridge.NotRunRefusal(reason)
+}
+
+// abandon cancels the attempt in progress, which may have run.
+func (p *calls) abandon(c *call) {
+	if c.stage != stageForward && c.stage != stageAnswered {
+		return
+	}
+	if c.stage == stageForward {
+		p.r.routes.ended(c.target, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.Cancelled)
+	}
+	c.doubtful = true
+	p.r.fx.Cancel(c.id, c.attempt)
+}
+
+// end forgets a call and tells the parts that hold something for it.
+func (p *calls) end(c *call, outcome jackdawbridge.Outcome) {
+	if c.stage == stageToken {
+		p.r.shares.forget(c.id, c.envelope.Account())
+	}
+	if c.stage == stageOnce || c.begun {
+		p.r.once.end(c.id, c.request.ID(), c.envelope.Account(), c.request.Idempotency(), outcome, c.status)
+	}
+	if c.child {
+		p.r.runs.giveBack(c.parent, c.allowance)
+	}
+	delete(p.active, c.id)
+	p.deadlines.Remove(c.id)
+	p.free.Put(c)
+}
+
+// wake returns the next deadline of a call.
+func (p *calls) wake() jackdawbridge.Millis {
+	if _, at, ok := p.deadlines.Min(); ok {
+		return at
+	}
+	return never
+}
+
+// tick ends the calls whose deadline has passed.
+func (p *calls) tick() {
+	for {
+		id, ok := p.deadlines.PopUntil(p.r.now)
+		if !ok {
+			return
+		}
+		p.timeout(p.active[id])
+	}
+}
+
+// timeout ends a call whose deadline has passed. An answer that is being
+// passed on breaks.
+func (p *calls) timeout(c *call) {
+	answered := c.stage == stageAnswered
+	p.abandon(c)
+	if answered {
+		p.end(c, jackdawbridge.Unknown)
+		return
+	}
+	p.refuse(c, p.failure(c, jackdawbridge.DeadlinePassed))
+}
+
+// fingerprint returns the digest by which a repeated request is known again.
+func (p *calls) fingerprint(c *call) jackdawbridge.Fingerprint {
+	f := xxhash.Sum64String(string(c.envelope.Account()))
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Method())
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(string(c.request.Service()))
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Path())
+	f = bits.RotateLeft64(f, 1) ^ c.request.Body()
+	return jackdawbridge.Fingerprint(f)
+}
--- /dev/null
+++ b/reducer/harness_test.go
@@ -0,0 +1,459 @@
+package reducer
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/limiter"
+	"github.com/jackdawbridge/jackdawbridge/picker"
+	"github.com/jackdawbridge/jackdawbridge/queue"
+)
+
+// The delays of the fakes.
+const (
+	linkDelay     jackdawbridge.Millis = 1
+	storeDelay    jackdawbridge.Millis = 3
+	storeTimeout  jackdawbridge.Millis = 500
+	connectLimit  jackdawbridge.Millis = 200
+	harnessOrigin jackdawbridge.Millis = 1_000_000_000
+)
+
+// step is something that is due at an instant.
+type step struct {
+	at       jackdawbridge.Millis
+	sequence int
+	do       func()
+}
+
+// timeline is a heap of steps by time, then by order of scheduling.
+type timeline []step
+
+func (t timeline) Len() int { return len(t) }
+func (t timeline) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].sequence < t[j].sequence
+}
+func (t timeline) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timeline) Push(x any)   { *t = append(*t, x.(step)) }
+func (t *timeline) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
+
+// execution is one run of a request by a fake backend server.
+type execution struct {
+	at          jackdawbridge.Millis
+	node        string
+	request     jackdawbridge.RequestID
+	account     jackdawbridge.AccountName
+	idempotency string
+	idempotent  bool
+}
+
+// result is the end of a request as its caller sees it.
+type result struct {
+	at      jackdawbridge.Millis
+	served  bool
+	status  int
+	refusal jackdawbridge.Refusal
+}
+
+// fakeRun ties a run at an upstream's node to the attempt that caused it.
+type fakeRun struct {
+	origin   *fakeNode
+	call     jackdawbridge.CallID
+	attempt  int
+	envelope jackdawbridge.Envelope
+	ended    bool // the backend server ended or abandoned it
+}
+
+// fakeNode is a reducer with the runtime and the backend server around it.
+type fakeNode struct {
+	name     string
+	h        *harness
+	peer     jackdawbridge.Peer
+	reducer  *Reducer
+	fx       jackdawbridge.Effects
+	alive    bool
+	frozen   bool
+	held     []func(at jackdawbridge.Millis) jackdawbridge.Event // arrived while frozen
+	wake     jackdawbridge.Millis                                // of the scheduled tick, 0 if none
+	service  jackdawbridge.Millis                                // time that a run takes
+	requests map[jackdawbridge.CallID]*jackdawbridge.Request
+	runs     map[jackdawbridge.CallID]*fakeRun
+	exited   bool
+	loads    int // calls to the platform
+	sent     int // messages
+}
+
+// harness drives a few reducers in virtual time over a fake link and a fake
+// platform. Everything is deterministic.
+type harness struct {
+	now        jackdawbridge.Millis
+	timeline   timeline
+	sequence   int
+	nodes      map[string]*fakeNode
+	order      []string
+	store      *fakeStore
+	cuts       map[[2]string]bool // one way
+	onSend     func(from, to *fakeNode, frame jackdawbridge.Frame) linkFault
+	afterStep  func(*fakeNode)
+	nextCall   jackdawbridge.CallID
+	executions []execution
+	results    map[jackdawbridge.RequestID]result
+	trace      []string
+	config     []jackdawbridge.Entry
+	keys       []jackdawbridge.Entry
+}
+
+// linkFault tells what the link does to a frame.
+type linkFault struct {
+	drop   bool
+	repeat bool
+	delay  jackdawbridge.Millis
+}
+
+func newHarness() *harness {
+	h := &harness{
+		now: harnessOrigin, nodes: make(map[string]*fakeNode), cuts: make(map[[2]string]bool),
+		results: make(map[jackdawbridge.RequestID]result),
+	}
+	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
+	return h
+}
+
+func (h *harness) after(delay jackdawbridge.Millis, do func()) {
+	h.sequence++
+	heap.Push(&h.timeline, step{at: h.now + delay, sequence: h.sequence, do: do})
+}
+
+// run lets virtual time pass.
+func (h *harness) run(span jackdawbridge.Millis) {
+	end := h.now + span
+	for len(h.timeline) > 0 && h.timeline[0].at <= end {
+		next := heap.Pop(&h.timeline).(step)
+		h.now = next.at
+		next.do()
+	}
+	h.now = end
+}
+
+// start starts a process of an instance. The incarnation rises each time.
+func (h *harness) start(name string, dc jackdawbridge.DataCentre, joins ...string) *fakeNode {
+	index := slices.Index(h.order, name)
+	if index < 0 {
+		h.order = append(h.order, name)
+		index = len(h.order) - 1
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)}), 7000)
+	node := jackdawbridge.NewNode(jackdawbridge.Instance(name), uint64(h.now))
+	peer := jackdawbridge.NewPeer(node, dc, jackdawbridge.NewAddresses(address, address, address))
+	var peers []jackdawbridge.Peer
+	for _, j := range joins {
+		peers = append(peers, h.nodes[j].peer)
+	}
+	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(64))
+	r, err := New(h.now, options.WithJoins(peers))
+	if err != nil {
+		panic(err)
+	}
+	n := &fakeNode{
+		name: name, h: h, peer: peer, reducer: r, alive: true, service: 5,
+		requests: make(map[jackdawbridge.CallID]*jackdawbridge.Request),
+		runs:     make(map[jackdawbridge.CallID]*fakeRun),
+	}
+	h.nodes[name] = n
+	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewTick(at) })
+	return n
+}
+
+// apply feeds one event to a node and executes the effects.
+func (n *fakeNode) apply(event func(at jackdawbridge.Millis) jackdawbridge.Event) {
+	if !n.alive {
+		return
+	}
+	if n.frozen {
+		n.held = append(n.held, event)
+		return
+	}
+	n.fx.Reset()
+	n.reducer.Apply(event(n.h.now), &n.fx)
+	for _, effect := range n.fx.All() {
+		n.execute(effect)
+	}
+	n.schedule()
+	if n.h.afterStep != nil {
+		n.h.afterStep(n)
+	}
+}
+
+func (n *fakeNode) schedule() {
+	at := max(n.reducer.Wake(), n.h.now+1)
+	if n.wake != 0 && n.wake <= at {
+		return
+	}
+	n.wake = at
+	n.h.after(at-n.h.now, func() {
+		if n.wake != at {
+			return
+		}
+		n.wake = 0
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewTick(at) })
+	})
+}
+
+func (n *fakeNode) execute(effect jackdawbridge.Effect) {
+	switch e := effect.(type) {
+	case *jackdawbridge.Forward:
+		n.forward(e)
+	case *jackdawbridge.Run:
+		n.run(e)
+	case *jackdawbridge.Deliver:
+		n.deliver(e)
+	case *jackdawbridge.Refuse:
+		n.refuse(e)
+	case *jackdawbridge.Cancel:
+		n.cancel(e)
+	case *jackdawbridge.Send:
+		n.send(e.To(), e.Frame())
+	case *jackdawbridge.Load:
+		n.loads++
+		n.h.store.load(n, e.Name())
+	case *jackdawbridge.Watch:
+		n.loads++
+		n.h.store.watch(n, e.Name(), e.Version())
+	case *jackdawbridge.Swap:
+		n.loads++
+		n.h.store.swap(n, e.Name(), e.Version(), e.Value(), e.Lease())
+	case *jackdawbridge.Log:
+		n.h.trace = append(n.h.trace, n.line(e))
+	case *jackdawbridge.Exit:
+		n.exited = true
+		n.alive = false
+	}
+}
+
+func (n *fakeNode) line(e *jackdawbridge.Log) string {
+	parts := []string{fmt.Sprintf("%d %s %s: %s", n.h.now-harnessOrigin, n.name, e.Part(), e.Text())}
+	if !e.Node().IsZero() {
+		parts = append(parts, "node="+string(e.Node().Instance()))
+	}
+	if e.Request() != "" {
+		parts = append(parts, "request="+string(e.Request()))
+	}
+	if e.Detail() != "" {
+		parts = append(parts, "name="+e.Detail())
+	}
+	if e.Count() != 0 {
+		parts = append(parts, fmt.Sprintf("count=%d", e.Count()))
+	}
+	return strings.Join(parts, " ")
+}
+
+func (h *harness) byNode(node jackdawbridge.Node) *fakeNode {
+	n := h.nodes[string(node.Instance())]
+	if n == nil || n.peer.Node() != node {
+		return nil
+	}
+	return n
+}
+
+func (h *harness) reaches(from, to string) bool { return !h.cuts[[2]string{from, to}] }
+
+// send carries a frame over the fake link.
+func (n *fakeNode) send(to jackdawbridge.Peer, frame jackdawbridge.Frame) {
+	n.sent++
+	target := n.h.nodes[string(to.Node().Instance())]
+	if target == nil || !n.h.reaches(n.name, target.name) {
+		return
+	}
+	fault := linkFault{}
+	if n.h.onSend != nil {
+		fault = n.h.onSend(n, target, frame)
+	}
+	if fault.drop {
+		return
+	}
+	deliver := func() {
+		target.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewReceived(at, frame) })
+	}
+	n.h.after(linkDelay+fault.delay, deliver)
+	if fault.repeat {
+		n.h.after(linkDelay+fault.delay+7, deliver)
+	}
+}
+
+// call sends a request to a node as a caller does.
+func (h *harness) call(at string, request *jackdawbridge.Request) {
+	h.nodes[at].arrive(request)
+}
+
+func (n *fakeNode) arrive(request *jackdawbridge.Request) {
+	n.h.nextCall++
+	id := n.h.nextCall
+	n.requests[id] = request
+	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+		return jackdawbridge.NewCallArrived(at, id, request)
+	})
+}
+
+func (n *fakeNode) forward(e *jackdawbridge.Forward) {
+	call, attempt, envelope := e.Call(), e.Attempt(), e.Envelope()
+	target := n.h.byNode(e.Target().Node())
+	if target == nil || !target.alive {
+		n.h.after(linkDelay, func() {
+			n.failed(call, attempt, jackdawbridge.NotRunRefusal(jackdawbridge.UpstreamFailed), 0, envelope.Allowance(), true)
+		})
+		return
+	}
+	if !n.h.reaches(n.name, target.name) || !n.h.reaches(target.name, n.name) {
+		n.h.after(connectLimit, func() {
+			n.failed(call, attempt, jackdawbridge.NotRunRefusal(jackdawbridge.UpstreamFailed), 0, envelope.Allowance(), false)
+		})
+		return
+	}
+	n.h.nextCall++
+	id := n.h.nextCall
+	target.runs[id] = &fakeRun{origin: n, call: call, attempt: attempt, envelope: envelope}
+	n.h.after(linkDelay, func() {
+		target.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewForwardArrived(at, id, envelope)
+		})
+	})
+}
+
+func (n *fakeNode) failed(call jackdawbridge.CallID, attempt int, refusal jackdawbridge.Refusal, level jackdawbridge.Level, unused int, refused bool) {
+	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+		return jackdawbridge.NewAttemptFailed(at, call, attempt, refusal, level, unused, refused)
+	})
+}
+
+func (n *fakeNode) run(e *jackdawbridge.Run) {
+	id := e.Call()
+	u := n.runs[id]
+	request := u.origin.requests[u.call]
+	n.h.executions = append(n.h.executions, execution{
+		at: n.h.now, node: n.name, request: u.envelope.ID(), account: u.envelope.Account(),
+		idempotency: request.Idempotency(), idempotent: u.envelope.Idempotent(),
+	})
+	n.h.after(n.service, func() {
+		if u.ended || !n.alive {
+			return
+		}
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewRunAnswered(at, id, 200) })
+	})
+}
+
+func (n *fakeNode) deliver(e *jackdawbridge.Deliver) {
+	if u, ok := n.runs[e.Call()]; ok {
+		id, level, unused := e.Call(), e.Level(), e.Unused()
+		u.ended = true
+		n.h.after(linkDelay, func() {
+			u.origin.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+				return jackdawbridge.NewAttemptAnswered(at, u.call, u.attempt, 200, level, unused)
+			})
+		})
+		n.h.after(0, func() {
+			n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+				return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Served, 200)
+			})
+		})
+		return
+	}
+	id := e.Call()
+	n.h.results[n.requests[id].ID()] = result{at: n.h.now, served: true, status: 200}
+	n.h.after(0, func() {
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallFinished(at, id, true) })
+	})
+}
+
+func (n *fakeNode) refuse(e *jackdawbridge.Refuse) {
+	if u, ok := n.runs[e.Call()]; ok {
+		u.ended = true
+		refusal, level, unused := e.Refusal(), e.Level(), e.Unused()
+		n.h.after(linkDelay, func() { u.origin.failed(u.call, u.attempt, refusal, level, unused, false) })
+		return
+	}
+	n.h.results[n.requests[e.Call()].ID()] = result{at: n.h.now, refusal: e.Refusal()}
+}
+
+func (n *fakeNode) cancel(e *jackdawbridge.Cancel) {
+	if u, ok := n.runs[e.Call()]; ok {
+		u.ended = true
+		return
+	}
+	for _, name := range n.h.order {
+		other := n.h.nodes[name]
+		for id, u := range other.runs {
+			if u.origin != n || u.call != e.Call() || u.attempt != e.Attempt() {
+				continue
+			}
+			n.h.after(linkDelay, func() {
+				other.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallCancelled(at, id) })
+			})
+		}
+	}
+}
+
+// kill ends a process. Attempts that it ran fail as unknown at their entry.
+func (h *harness) kill(name string) {
+	n := h.nodes[name]
+	n.alive = false
+	for _, u := range n.runs {
+		if u.ended {
+			continue
+		}
+		u.ended = true
+		h.after(linkDelay, func() {
+			u.origin.failed(u.call, u.attempt, jackdawbridge.UnknownRefusal(jackdawbridge.UpstreamFailed), 0, 0, false)
+		})
+	}
+}
+
+// freeze stops a process for a span. What arrives meanwhile waits.
+func (h *harness) freeze(name string, span jackdawbridge.Millis) {
+	n := h.nodes[name]
+	n.frozen = true
+	h.after(span, func() {
+		n.frozen = false
+		held := n.held
+		n.held = nil
+		for _, event := range held {
+			n.apply(event)
+		}
+	})
+}
+
+// cut stops the link between two nodes in one direction, or restores it.
+func (h *harness) cut(from, to string, on bool) { h.cuts[[2]string{from, to}] = on }
+
+// announce lets a node's backend server announce itself.
+func (h *harness) announce(name string, service jackdawbridge.ServiceName, slots int, draining bool) {
+	h.nodes[name].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+		return jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, draining)
+	})
+}
+
+// publish writes the harness's configuration and keys to the platform as a new revision.
+func (h *harness) publish() {
+	for _, t := range []struct {
+		name    jackdawbridge.RecordName
+		entries []jackdawbridge.Entry
+	}{{jackdawbridge.ConfigTable, h.config}, {jackdawbridge.KeysTable, h.keys}} {
+		revision := h.store.records[t.name].Version() + 1
+		entries := make([]jackdawbridge.Entry, 0, len(t.entries))
+		for _, e := range t.entries {
+			entries = append(entries, e.At(revision))
+		}
+		table, err := jackdawbridge.NewTable(revision, fmt.Sprint("change-", revision), entries)
+		if err != nil {
+			panic(err)
+		}
+		h.store.put(t.name, table, 0)
+	}
+}
--- /dev/null
+++ b/reducer/reducer.go
@@ -0,0 +1,270 @@
+// Package reducer makes every decision of a node: one state, changed by one
+// function over all events, with effects as data.
+//
+// Each part of the state has its own file: calls at the entry node, runs at
+// the upstream's node, routing, shares, retries, idempotency, membership,
+// settings, authority over ranges, quarantine and draining. The parts call each
+// other, but the outside reaches them through Apply only.
+package reducer
+
+import (
+	"math/rand/v2"
+
+	"github.com/go-faster/errors"
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// FreezeGap is the gap between two events above which the process is taken to
+// have been frozen. It is above the longest interval between ticks.
+const FreezeGap = 3 * jackdawbridge.Second
+
+// tickInterval bounds the time between two ticks of an idle node.
+const tickInterval = jackdawbridge.Second
+
+const never = jackdawbridge.Millis(1<<63 - 1)
+
+// Options configures a Reducer.
+type Options struct {
+	self    jackdawbridge.Peer   // this node
+	joins   []jackdawbridge.Peer // peers known from settings
+	seed    [32]byte             // of the random source, secret: tokens come from it
+	picker  jackdawbridge.Picker
+	limiter jackdawbridge.Limiter
+	queue   jackdawbridge.Queue
+}
+
+// NewOptions returns the options of a node with the given strategies.
+func NewOptions(
+	self jackdawbridge.Peer, seed [32]byte,
+	picker jackdawbridge.Picker, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue,
+) Options {
+	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue}
+}
+
+// WithJoins returns o with peers to join, known from settings. Only their
+// addresses need to be set.
+func (o Options) WithJoins(joins []jackdawbridge.Peer) Options {
+	o.joins = joins
+	return o
+}
+
+// Reducer holds the whole state of a node.
+type Reducer struct {
+	self   jackdawbridge.Peer // as announced; state and version change
+	now    jackdawbridge.Millis
+	fx     *jackdawbridge.Effects // of the current Apply
+	random *rand.ChaCha8
+
+	calls      calls
+	runs       runs
+	routes     routes
+	shares     shares
+	once       once
+	members    members
+	settings   settings
+	authority  authority
+	quarantine quarantine
+	drain      drain
+}
+
+var _ jackdawbridge.Reducer = (*Reducer)(nil)
+
+// New returns the state of a node that starts at the given instant. The node
+// takes its first steps at the first Tick.
+func New(at jackdawbridge.Millis, options Options) (*Reducer, error) {
+	if options.self.Node().IsZero() {
+		return nil, errors.New("options name no node")
+	}
+	if options.picker == nil || options.limiter == nil || options.queue == nil {
+		return nil, errors.New("options lack a picker, a limiter or a queue")
+	}
+	r := &Reducer{self: options.self, now: at, random: rand.NewChaCha8(options.seed)}
+	r.calls = newCalls(r)
+	r.runs = newRuns(r, options.limiter, options.queue)
+	r.routes = newRoutes(r, options.picker)
+	r.shares = newShares(r)
+	r.once = newOnce(r)
+	r.members = newMembers(r, options.joins)
+	r.settings = newSettings(r)
+	r.authority = newAuthority(r)
+	r.quarantine = newQuarantine(r)
+	r.drain = newDrain(r)
+	return r, nil
+}
+
+// Apply changes the state by one event and adds the effects that follow.
+func (r *Reducer) Apply(event jackdawbridge.Event, effects *jackdawbridge.Effects) {
+	r.fx = effects
+	r.advance(event.At())
+	switch e := event.(type) {
+	case *jackdawbridge.Tick:
+	case *jackdawbridge.CallArrived:
+		r.calls.arrive(e)
+	case *jackdawbridge.AttemptAnswered:
+		r.calls.answered(e)
+	case *jackdawbridge.CallFinished:
+		r.calls.finished(e)
+	case *jackdawbridge.CallCancelled:
+		r.calls.cancelled(e.Call())
+		r.runs.cancelled(e.Call())
+	case *jackdawbridge.ForwardArrived:
+		r.runs.arrive(e)
+	case *jackdawbridge.RunAnswered:
+		r.runs.answered(e)
+	case *jackdawbridge.RunFinished:
+		r.runs.finished(e)
+	case *jackdawbridge.BackendAnnounced:
+		r.runs.announced(e)
+	case *jackdawbridge.BackendLost:
+		r.runs.lost()
+	case *jackdawbridge.Received:
+		r.receive(e.Frame())
+	case *jackdawbridge.PeerRefused:
+		r.members.refused(e.Node())
+	case *jackdawbridge.StoreLoaded:
+		r.loaded(e)
+	case *jackdawbridge.StoreSwapped:
+		r.swapped(e)
+	case *jackdawbridge.StopRequested:
+		r.drain.begin()
+	}
+	r.tick()
+	r.fx = nil
+}
+
+// Wake returns when the next Tick is due.
+func (r *Reducer) Wake() jackdawbridge.Millis {
+	return min(
+		r.now+tickInterval,
+		r.calls.wake(),
+		r.runs.wake(),
+		r.shares.wake(),
+		r.once.wake(),
+		r.members.wake(),
+		r.settings.wake(),
+		r.authority.wake(),
+		r.quarantine.wake(),
+		r.drain.wake(),
+	)
+}
+
+// advance moves the time on. After a gap everything that rests on time lapses
+// before the event is looked at.
+func (r *Reducer) advance(at jackdawbridge.Millis) {
+	gap := at - r.now
+	r.now = max(r.now, at)
+	if gap <= FreezeGap {
+		return
+	}
+	r.fx.Warn(jackdawbridge.PartMember, "the process was frozen, leases and tokens lapse").With("", int64(gap))
+	r.shares.thaw()
+	r.authority.thaw()
+	r.members.thaw()
+	r.settings.thaw()
+}
+
+// tick lets each part do what is due. A part does nothing before its wake.
+func (r *Reducer) tick() {
+	r.calls.tick()
+	r.runs.tick()
+	r.shares.tick()
+	r.once.tick()
+	r.members.tick()
+	r.settings.tick()
+	r.authority.tick()
+	r.quarantine.tick()
+	r.drain.tick()
+}
+
+// receive hands a message to the part that it is for.
+func (r *Reducer) receive(frame jackdawbridge.Frame) {
+	from := frame.From()
+	if from.Node() == r.self.Node() {
+		return
+	}
+	r.members.heard(from)
+	r.settings.heard(from, frame.Digest())
+	r.authority.heard(from, frame.Digest())
+	switch m := frame.Message().(type) {
+	case *jackdawbridge.Probe:
+		r.members.probe(from, m)
+	case *jackdawbridge.ProbeAck:
+		r.members.probeAck(from, m)
+	case *jackdawbridge.ProbeVia:
+		r.members.probeVia(from, m)
+	case *jackdawbridge.Members:
+		r.members.received(from, m)
+	case *jackdawbridge.Leave:
+		r.members.left(from)
+	case *jackdawbridge.Newer:
+	case *jackdawbridge.Pull:
+		r.settings.pull(from, m)
+		r.authority.pull(from, m)
+	case *jackdawbridge.Delta:
+		r.settings.delta(from, m)
+	case *jackdawbridge.RangesDelta:
+		r.authority.delta(from, m)
+	case *jackdawbridge.Vouch:
+		r.authority.vouch(from, m)
+	case *jackdawbridge.Vouched:
+		r.authority.vouched(from, m)
+	case *jackdawbridge.Acknowledge:
+		r.authority.acknowledge(from, m)
+	case *jackdawbridge.Acknowledged:
+		r.authority.acknowledged(from, m)
+	case *jackdawbridge.Ask:
+		r.shares.ask(from, m)
+	case *jackdawbridge.Grant:
+		r.shares.grant(from, m)
+	case *jackdawbridge.Deny:
+		r.shares.deny(from, m)
+	case *jackdawbridge.Report:
+		r.shares.report(from, m)
+	case *jackdawbridge.Handover:
+		r.shares.handover(from, m)
+	case *jackdawbridge.Begin:
+		r.once.beginAsked(from, m)
+	case *jackdawbridge.Begun:
+		r.once.begun(from, m)
+	case *jackdawbridge.Ended:
+		r.once.ended(from, m)
+	case *jackdawbridge.Crash:
+		r.quarantine.crash(from, m)
+	}
+}
+
+// loaded hands a record of the platform to the part that asked for it.
+func (r *Reducer) loaded(e *jackdawbridge.StoreLoaded) {
+	switch {
+	case isTable(e.Name()):
+		r.settings.loaded(e)
+	case isSeed(e.Name()):
+		r.members.seedLoaded(e)
+	default:
+		r.authority.loaded(e)
+	}
+}
+
+// swapped hands the end of a change to the part that asked for it.
+func (r *Reducer) swapped(e *jackdawbridge.StoreSwapped) {
+	if isSeed(e.Name()) {
+		r.members.seedSwapped(e)
+		return
+	}
+	r.authority.swapped(e)
+}
+
+// send sends a message to a peer.
+func (r *Reducer) send(to jackdawbridge.Peer, message jackdawbridge.Message) {
+	r.fx.Send(to, jackdawbridge.NewFrame(r.self, r.digest(), message))
+}
+
+// digest returns the newest revisions that this node knows.
+func (r *Reducer) digest() jackdawbridge.Digest {
+	return jackdawbridge.NewDigest(
+		r.settings.revision(jackdawbridge.ConfigTable),
+		r.settings.revision(jackdawbridge.KeysTable),
+		r.authority.epoch(),
+		r.settings.confirmedAge(),
+	)
+}
--- /dev/null
+++ b/reducer/run.go
@@ -0,0 +1,287 @@
+package reducer
+
+import (
+	"encoding/binary"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/heap"
+	"github.com/jackdawbridge/jackdawbridge/pool"
+)
+
+// runState is how far a forwarded request has come at the upstream's node.
+type runState uint8
+
+const (
+	runWaiting  runState = iota // in the queue
+	runRunning                  // handed to the backend server
+	runAnswered                 // the answer is being passed on
+)
+
+// run is a forwarded request at the upstream's node.
+type run struct {
+	id        jackdawbridge.CallID
+	envelope  jackdawbridge.Envelope
+	deadline  jackdawbridge.Millis
+	state     runState
+	token     jackdawbridge.Token // set while the request runs
+	began     jackdawbridge.Millis
+	inFlight  int // runs when this one began, itself included
+	allowance int // retries left for own calls of the backend server
+}
+
+// runs is the part that admits forwarded requests to the own backend server.
+type runs struct {
+	r         *Reducer
+	limiter   jackdawbridge.Limiter
+	queue     jackdawbridge.Queue
+	active    map[jackdawbridge.CallID]*run // waiting and running
+	tokens    map[jackdawbridge.Token]*run  // running only
+	running   int                           // at most the limiter's limit
+	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
+	free      *pool.Pool[run]
+}
+
+func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
+	return runs{
+		r: r, limiter: limiter, queue: queue,
+		active: make(map[jackdawbridge.CallID]*run),
+		tokens: make(map[jackdawbridge.Token]*run),
+		free:   pool.New[run](64),
+	}
+}
+
+// announced takes note of the own backend server and tells the peers.
+func (p *runs) announced(e *jackdawbridge.BackendAnnounced) {
+	state := jackdawbridge.PeerServing
+	if e.Draining() || p.r.drain.stopping {
+		state = jackdawbridge.PeerDraining
+	}
+	self := p.r.self.WithBackend(e.Service(), e.Slots(), e.Conns()).WithState(state)
+	if self == p.r.self {
+		return
+	}
+	p.limiter.Resize(e.Slots())
+	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server announced itself").With(string(e.Service()), int64(e.Slots()))
+	p.r.announce(self)
+}
+
+// lost takes note that the own backend server is gone.
+func (p *runs) lost() {
+	if p.r.self.State() != jackdawbridge.PeerServing {
+		return
+	}
+	p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server is gone").With(string(p.r.self.Service()), int64(p.running))
+	p.r.quarantine.crashed(p.inFlight())
+	p.r.announce(p.r.self.WithState(jackdawbridge.PeerStarting))
+	p.refuseWaiting(jackdawbridge.BackendDown)
+}
+
+// inFlight returns the fingerprints of the requests that run.
+func (p *runs) inFlight() []jackdawbridge.Fingerprint {
+	var prints []jackdawbridge.Fingerprint
+	for _, u := range p.tokens {
+		prints = append(prints, u.envelope.Fingerprint())
+	}
+	return prints
+}
+
+// arrive queues a forwarded request, or refuses it.
+func (p *runs) arrive(e *jackdawbridge.ForwardArrived) {
+	envelope := e.Envelope()
+	u := p.free.Take()
+	u.id = e.Call()
+	u.envelope = envelope
+	u.deadline = p.r.now + envelope.Budget()
+	u.allowance = envelope.Allowance()
+	p.active[u.id] = u
+	if reason := p.check(envelope); reason != jackdawbridge.NoReason {
+		p.refuse(u, jackdawbridge.NotRunRefusal(reason))
+		return
+	}
+	shed, full := p.queue.Push(p.r.now, jackdawbridge.NewWaiting(u.id, envelope, p.r.now, u.deadline))
+	if full {
+		p.refuse(p.active[shed.Call()], jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded))
+	}
+	if p.active[e.Call()] == u {
+		p.deadlines.Set(u.id, u.deadline)
+	}
+	p.pump()
+}
+
+// check returns why a forwarded request cannot run here, if so.
+func (p *runs) check(envelope jackdawbridge.Envelope) jackdawbridge.Reason {
+	switch {
+	case p.r.self.State() == jackdawbridge.PeerDraining:
+		return jackdawbridge.Draining
+	case p.r.self.State() != jackdawbridge.PeerServing:
+		return jackdawbridge.BackendDown
+	case envelope.Service() != p.r.self.Service():
+		return jackdawbridge.UnknownService
+	case envelope.Depth() > jackdawbridge.MaxDepth:
+		return jackdawbridge.TooDeep
+	case envelope.Budget() <= 0:
+		return jackdawbridge.DeadlinePassed
+	case p.r.quarantine.check(envelope.Fingerprint()) == verdictRefuse:
+		return jackdawbridge.Quarantined
+	}
+	return jackdawbridge.NoReason
+}
+
+// pump hands waiting requests to the backend server while it has room.
+func (p *runs) pump() {
+	for p.running < p.limiter.Limit() {
+		w, ok := p.queue.Pop(p.r.now)
+		if !ok {
+			return
+		}
+		p.launch(p.active[w.Call()])
+	}
+}
+
+// launch hands a request to the backend server.
+func (p *runs) launch(u *run) {
+	p.running++
+	u.state = runRunning
+	u.began = p.r.now
+	u.inFlight = p.running
+	binary.LittleEndian.PutUint64(u.token[:8], p.r.random.Uint64())
+	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
+	p.tokens[u.token] = u
+	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
+}
+
+// answered passes an answer on. Calls that the backend server makes later get
+// no retries, since the unused ones go back with the answer.
+func (p *runs) answered(e *jackdawbridge.RunAnswered) {
+	u, ok := p.active[e.Call()]
+	if !ok || u.state != runRunning {
+		return
+	}
+	u.state = runAnswered
+	p.r.fx.Deliver(u.id, 0, p.queue.Level(p.r.now), u.allowance)
+	u.allowance = 0
+}
+
+// finished frees the slot of a run that ended.
+func (p *runs) finished(e *jackdawbridge.RunFinished) {
+	u, ok := p.active[e.Call()]
+	if !ok || u.state == runWaiting {
+		return
+	}
+	if u.state == runRunning && e.Outcome() != jackdawbridge.Served {
+		p.fail(u, e.Outcome())
+	}
+	p.stop(u, e.Outcome() != jackdawbridge.Served)
+	p.pump()
+}
+
+// fail refuses a run that the backend server did not answer.
+func (p *runs) fail(u *run, outcome jackdawbridge.Outcome) {
+	refusal := jackdawbridge.UnknownRefusal(jackdawbridge.UpstreamFailed)
+	if outcome == jackdawbridge.NotRun {
+		refusal = jackdawbridge.NotRunRefusal(jackdawbridge.BackendDown)
+	}
+	p.r.fx.Refuse(u.id, refusal, p.queue.Level(p.r.now), u.allowance)
+}
+
+// stop forgets a run and frees its slot.
+func (p *runs) stop(u *run, dropped bool) {
+	p.running--
+	p.limiter.Observe(p.r.now, jackdawbridge.NewSample(p.r.now-u.began, u.inFlight, dropped))
+	delete(p.tokens, u.token)
+	p.forget(u)
+}
+
+// cancelled gives up a request whose caller is gone.
+func (p *runs) cancelled(id jackdawbridge.CallID) {
+	u, ok := p.active[id]
+	if !ok {
+		return
+	}
+	if u.state == runWaiting {
+		p.queue.Remove(id)
+		p.forget(u)
+		return
+	}
+	p.r.fx.Cancel(id, 0)
+	p.stop(u, true)
+	p.pump()
+}
+
+// refuse answers a request that did not run.
+func (p *runs) refuse(u *run, refusal jackdawbridge.Refusal) {
+	p.r.fx.Refuse(u.id, refusal, p.queue.Level(p.r.now), u.envelope.Allowance())
+	p.r.fx.Log(jackdawbridge.PartAdmit, "refused").About(u.envelope.ID(), p.r.self.Node()).With(refusal.Reason().String(), 0)
+	p.forget(u)
+}
+
+// refuseWaiting refuses all requests that wait.
+func (p *runs) refuseWaiting(reason jackdawbridge.Reason) {
+	for {
+		w, ok := p.queue.Pop(p.r.now)
+		if !ok {
+			return
+		}
+		p.refuse(p.active[w.Call()], jackdawbridge.NotRunRefusal(reason))
+	}
+}
+
+func (p *runs) forget(u *run) {
+	delete(p.active, u.id)
+	p.deadlines.Remove(u.id)
+	p.free.Put(u)
+}
+
+// byToken returns the run that a backend server's call belongs to.
+func (p *runs) byToken(token jackdawbridge.Token) (*run, bool) {
+	u, ok := p.tokens[token]
+	return u, ok
+}
+
+// giveBack returns unused retries of a backend server's call to its run.
+func (p *runs) giveBack(id jackdawbridge.CallID, unused int) {
+	if u, ok := p.active[id]; ok && u.state == runRunning {
+		u.allowance += unused
+	}
+}
+
+// wake returns the next deadline of a request.
+func (p *runs) wake() jackdawbridge.Millis {
+	if _, at, ok := p.deadlines.Min(); ok {
+		return at
+	}
+	return never
+}
+
+// tick ends the requests whose deadline has passed.
+func (p *runs) tick() {
+	for {
+		id, ok := p.deadlines.PopUntil(p.r.now)
+		if !ok {
+			break
+		}
+		p.timeout(p.active[id])
+	}
+	for {
+		w, ok := p.queue.Expire(p.r.now, 0)
+		if !ok {
+			return
+		}
+		p.refuse(p.active[w.Call()], jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
+	}
+}
+
+// timeout ends a request whose deadline has passed.
+func (p *runs) timeout(u *run) {
+	if u.state == runWaiting {
+		p.queue.Remove(u.id)
+		p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
+		return
+	}
+	p.r.fx.Cancel(u.id, 0)
+	if u.state == runRunning {
+		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.queue.Level(p.r.now), 0)
+	}
+	p.stop(u, true)
+	p.pump()
+}
--- /dev/null
+++ b/reducer/script_test.go
@@ -0,0 +1,237 @@
+package reducer
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// TestScripts runs each file of testdata. A file is a list of commands with
+// their expected output; scripts of one part guard against the failures that
+// their comments name.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		h := newHarness()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out, err := h.command(d)
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			return out
+		})
+	})
+}
+
+// command runs one command of a script. Commands have the form "verb
+// name=value ..."; the input below a command has one item a line.
+func (h *harness) command(d *datadriven.TestData) (string, error) {
+	switch d.Cmd {
+	case "config":
+		return h.configure(d.Input)
+	case "start":
+		var joins []string
+		for _, j := range strings.Split(arg(d, "join", ""), "+") {
+			if j != "" {
+				joins = append(joins, j)
+			}
+		}
+		h.start(arg(d, "node", ""), jackdawbridge.DataCentre(arg(d, "dc", "one")), joins...)
+	case "announce":
+		h.announce(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), number(d, "slots", 4), arg(d, "state", "") == "draining")
+	case "crash":
+		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewBackendLost(at) })
+	case "stop":
+		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewStopRequested(at) })
+	case "kill":
+		h.kill(arg(d, "node", ""))
+	case "freeze":
+		h.freeze(arg(d, "node", ""), jackdawbridge.Millis(number(d, "ms", 0)))
+	case "cut", "heal":
+		h.cutAll(arg(d, "from", ""), arg(d, "to", ""), d.Cmd == "cut", arg(d, "ways", "2") == "2")
+	case "store":
+		h.store.setDown(arg(d, "state", "up") == "down")
+		h.store.lose = number(d, "lose", 0)
+		h.store.slow = jackdawbridge.Millis(number(d, "slow", 0))
+	case "service-time":
+		h.nodes[arg(d, "node", "")].service = jackdawbridge.Millis(number(d, "ms", 5))
+	case "call":
+		return h.calls(d)
+	case "run":
+		h.run(jackdawbridge.Millis(number(d, "ms", 0)))
+	case "results":
+		return h.summary(), nil
+	case "executions":
+		return fmt.Sprint(len(h.executions)), nil
+	case "log":
+		return h.grep(arg(d, "part", ""), arg(d, "node", "")), nil
+	default:
+		return "", fmt.Errorf("unknown command %s", d.Cmd)
+	}
+	return "", nil
+}
+
+func arg(d *datadriven.TestData, name, fallback string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name && len(a.Vals) > 0 {
+			return strings.Join(a.Vals, ",")
+		}
+	}
+	return fallback
+}
+
+func number(d *datadriven.TestData, name string, fallback int) int {
+	n, err := strconv.Atoi(arg(d, name, strconv.Itoa(fallback)))
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+func keyHash(key string) jackdawbridge.KeyHash { return sha256.Sum256([]byte(key)) }
+
+// configure publishes accounts, routes and keys, one a line:
+//
+//	account NAME RATE BURST DC:PERMILLE,... [bought]
+//	route SERVICE PREFIX CRITICALITY [idempotent] [open]
+//	key KEY ACCOUNT
+func (h *harness) configure(input string) (string, error) {
+	h.config, h.keys = nil, nil
+	routes := make(map[string][]*jackdawbridge.Route)
+	for _, line := range strings.Split(strings.TrimSpace(input), "\n") {
+		f := strings.Fields(line)
+		var err error
+		switch f[0] {
+		case "account":
+			err = h.addAccount(f)
+		case "route":
+			var c jackdawbridge.Criticality
+			var route *jackdawbridge.Route
+			if c, err = jackdawbridge.ParseCriticality(f[3]); err == nil {
+				route, err = jackdawbridge.NewRoute(f[2], nil, c, slices.Contains(f, "idempotent"), slices.Contains(f, "open"))
+			}
+			routes[f[1]] = append(routes[f[1]], route)
+		case "key":
+			var k *jackdawbridge.Key
+			k, err = jackdawbridge.NewKey(keyHash(f[1]), jackdawbridge.AccountName(f[2]), "")
+			h.keys = append(h.keys, jackdawbridge.KeyEntry(k))
+		}
+		if err != nil {
+			return "", err
+		}
+	}
+	for name, list := range routes {
+		s, err := jackdawbridge.NewService(jackdawbridge.ServiceName(name), list)
+		if err != nil {
+			return "", err
+		}
+		h.config = append(h.config, jackdawbridge.ServiceEntry(s))
+	}
+	h.publish()
+	return "", nil
+}
+
+func (h *harness) addAccount(f []string) error {
+	rate, _ := strconv.ParseInt(f[2], 10, 64)
+	burst, _ := strconv.ParseInt(f[3], 10, 64)
+	var shares []jackdawbridge.Share
+	for _, part := range strings.Split(f[4], ",") {
+		dc, permille, _ := strings.Cut(part, ":")
+		n, _ := strconv.Atoi(permille)
+		s, err := jackdawbridge.NewShare(jackdawbridge.DataCentre(dc), n)
+		if err != nil {
+			return err
+		}
+		shares = append(shares, s)
+	}
+	a, err := jackdawbridge.NewAccount(jackdawbridge.AccountName(f[1]), rate, burst, shares)
+	if err != nil {
+		return err
+	}
+	h.config = append(h.config, jackdawbridge.AccountEntry(a.WithBought(slices.Contains(f, "bought"))))
+	return nil
+}
+
+// cutAll cuts or heals links between nodes, given by name or by data centre.
+func (h *harness) cutAll(from, to string, on, both bool) {
+	for _, a := range h.matching(from) {
+		for _, b := range h.matching(to) {
+			h.cut(a, b, on)
+			if both {
+				h.cut(b, a, on)
+			}
+		}
+	}
+}
+
+func (h *harness) matching(name string) []string {
+	var names []string
+	for _, n := range h.order {
+		if n == name || string(h.nodes[n].peer.DataCentre()) == name {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// calls sends requests: call node=a id=r1 service=s path=/p key=k
+// [idempotency=key] [count=n every=ms] [budget=ms].
+func (h *harness) calls(d *datadriven.TestData) (string, error) {
+	node, id, count := arg(d, "node", ""), arg(d, "id", "r"), number(d, "count", 1)
+	every := jackdawbridge.Millis(number(d, "every", 1))
+	if h.nodes[node] == nil {
+		return "", fmt.Errorf("no node %q", node)
+	}
+	service, method, path := jackdawbridge.ServiceName(arg(d, "service", "")), arg(d, "method", "GET"), arg(d, "path", "/")
+	budget := jackdawbridge.Millis(number(d, "budget", 1000))
+	key, idempotency := arg(d, "key", ""), arg(d, "idempotency", "")
+	for i := range count {
+		name := id
+		if count > 1 {
+			name += "-" + strconv.Itoa(i)
+		}
+		h.after(jackdawbridge.Millis(i)*every, func() {
+			request := jackdawbridge.NewRequest(jackdawbridge.RequestID(name), service, method, path, budget)
+			if key != "" {
+				request.WithKey(keyHash(key))
+			}
+			h.call(node, request.WithIdempotency(idempotency))
+		})
+	}
+	return "", nil
+}
+
+// summary returns how the requests ended, with a count for each end.
+func (h *harness) summary() string {
+	ends := make(map[string]int)
+	for _, r := range h.results {
+		end := "served"
+		if !r.served {
+			end = r.refusal.Outcome().String() + " " + r.refusal.Reason().String()
+		}
+		ends[end]++
+	}
+	lines := make([]string, 0, len(ends))
+	for end, n := range ends {
+		lines = append(lines, fmt.Sprintf("%s: %d", end, n))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+// grep returns the log lines of a part, of one node or of all.
+func (h *harness) grep(part, node string) string {
+	var lines []string
+	for _, line := range h.trace {
+		f := strings.Fields(line)
+		if f[2] == part+":" && (node == "" || f[1] == node) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
