reducer: at most once, quarantine and draining

Cause: the three parts were stubs. Idempotency keys get a home that records the start before anything runs; crashes make suspects that run alone, and a suspect that crashes again alone is refused by the fleet; a stopping node goes on for a grace of 2 s before it refuses. Ruled out: counting two crashes for a quarantine, since a frequent harmless request is in flight at most crashes; keeping keys for an hour, since 300 starts a second at a home would need over a million records; a clock allowance of 30 s, since every new key of a range is in doubt that long after a take-over.

--- a/message_once.go
+++ b/message_once.go
@@ -77,11 +77,13 @@
 // Status returns the status of the answer, when served.
 func (e *Ended) Status() int { return e.status }
 
-// Crash tells which requests were in flight when a backend server crashed.
+// Crash tells which requests were in flight when a backend server crashed, or
+// that a request that was in flight then has since run to its end.
 type Crash struct {
 	node         Node   // whose backend server crashed
 	sequence     uint64 // of the crash at that node
 	age          Millis // time since the crash
+	cleared      bool   // the requests ran to their end after the crash
 	fingerprints []Fingerprint
 }
 
@@ -90,6 +92,12 @@
 	return &Crash{node: node, sequence: sequence, age: age, fingerprints: fingerprints}
 }
 
+// NewCleared returns the report that requests ran to their end after a crash
+// at which they were in flight.
+func NewCleared(node Node, sequence uint64, fingerprints []Fingerprint) *Crash {
+	return &Crash{node: node, sequence: sequence, cleared: true, fingerprints: fingerprints}
+}
+
 // Node returns the node whose backend server crashed.
 func (c *Crash) Node() Node { return c.node }
 
@@ -99,7 +107,10 @@
 // Age returns the time since the crash.
 func (c *Crash) Age() Millis { return c.age }
 
-// Fingerprints returns the fingerprints of what was in flight.
+// Cleared reports whether the requests ran to their end after the crash.
+func (c *Crash) Cleared() bool { return c.cleared }
+
+// Fingerprints returns the fingerprints of the requests.
 func (c *Crash) Fingerprints() []Fingerprint { return c.fingerprints }
 
 func (*Begin) message() {}
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -291,7 +291,7 @@
 		p.r.shares.forget(c.id, c.envelope.Account())
 	}
 	if c.stage == stageOnce || c.begun {
-		p.r.once.end(c.id, c.request.ID(), c.envelope.Account(), c.request.Idempotency(), outcome, c.status)
+		p.r.once.end(c.request.ID(), c.envelope.Account(), c.request.Idempotency(), outcome, c.status)
 	}
 	if c.child {
 		p.r.runs.giveBack(c.parent, c.allowance)
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -2,10 +2,20 @@
 
 import "github.com/jackdawbridge/jackdawbridge"
 
+const (
+	// drainGrace is how long a draining node or backend server goes on with new
+	// forwarded requests, while the other nodes learn that it drains.
+	drainGrace = 2 * jackdawbridge.Second
+	// drainLimit is how long a stopping node waits for its ranges to be taken
+	// over. Its calls end by their deadlines.
+	drainLimit = 10 * jackdawbridge.Second
+)
+
 // drain is the part that ends the node without cutting a request.
 type drain struct {
 	r        *Reducer
 	stopping bool
+	since    jackdawbridge.Millis // when the backend server began to drain, 0 if it does not
 	exited   bool
 }
 
@@ -17,20 +27,51 @@
 		return
 	}
 	p.stopping = true
-	p.r.fx.Log(jackdawbridge.PartDrain, "stops, calls and runs left").With("", int64(len(p.r.calls.active)+len(p.r.runs.active)))
+	p.note(jackdawbridge.PeerDraining)
+	p.r.fx.Log(jackdawbridge.PartDrain, "node stops").With("calls and runs left", int64(p.left()))
 	p.r.announce(p.r.self.WithState(jackdawbridge.PeerDraining))
 	p.r.shares.release()
 	p.r.authority.release()
 }
 
-func (p *drain) wake() jackdawbridge.Millis { return never }
+// note takes note of the state that the node announces.
+func (p *drain) note(state jackdawbridge.PeerState) {
+	switch {
+	case state != jackdawbridge.PeerDraining:
+		p.since = 0
+	case p.since == 0:
+		p.since = p.r.now
+	}
+}
+
+// refuses reports whether new forwarded requests are refused as not run.
+func (p *drain) refuses() bool { return p.since != 0 && p.r.now-p.since >= drainGrace }
+
+// left returns how many calls and runs are in progress.
+func (p *drain) left() int { return len(p.r.calls.active) + len(p.r.runs.active) }
+
+func (p *drain) wake() jackdawbridge.Millis {
+	if !p.stopping || p.exited {
+		return never
+	}
+	for _, at := range []jackdawbridge.Millis{p.since + drainGrace, p.since + drainLimit} {
+		if p.r.now < at {
+			return at
+		}
+	}
+	return never
+}
 
 // tick ends the node when nothing is left to do.
 func (p *drain) tick() {
-	if !p.stopping || p.exited || len(p.r.calls.active)+len(p.r.runs.active) > 0 || !p.r.authority.released() {
+	if !p.stopping || p.exited || !p.refuses() || p.left() > 0 {
+		return
+	}
+	if !p.r.authority.released() && p.r.now-p.since < drainLimit {
 		return
 	}
 	p.exited = true
 	p.r.members.depart()
+	p.r.fx.Log(jackdawbridge.PartDrain, "node ends")
 	p.r.fx.Exit()
 }
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -16,11 +16,12 @@
 
 // The delays of the fakes.
 const (
-	linkDelay     jackdawbridge.Millis = 1
-	storeDelay    jackdawbridge.Millis = 3
-	storeTimeout  jackdawbridge.Millis = 500
-	connectLimit  jackdawbridge.Millis = 200
-	harnessOrigin jackdawbridge.Millis = 1_000_000_000
+	linkDelay      jackdawbridge.Millis = 1
+	storeDelay     jackdawbridge.Millis = 3
+	storeTimeout   jackdawbridge.Millis = 500
+	connectLimit   jackdawbridge.Millis = 200
+	backendRestart jackdawbridge.Millis = 300
+	harnessOrigin  jackdawbridge.Millis = 1_000_000_000
 )
 
 // step is something that is due at an instant.
@@ -87,6 +88,7 @@
 	requests map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs     map[jackdawbridge.CallID]*fakeRun
 	exited   bool
+	crashes  int // of the backend server
 	loads    int // calls to the platform
 	sent     int // messages
 }
@@ -345,6 +347,10 @@
 		if u.ended || !n.alive {
 			return
 		}
+		if strings.Contains(request.Path(), "poison") {
+			n.crash()
+			return
+		}
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewRunAnswered(at, id, 200) })
 	})
 }
@@ -415,6 +421,23 @@
 	}
 }
 
+// crash ends the backend server of a node, which starts again a little later.
+// The connections of its runs break first.
+func (n *fakeNode) crash() {
+	n.crashes++
+	for id, u := range n.runs {
+		if u.ended {
+			continue
+		}
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Unknown, 0)
+		})
+	}
+	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewBackendLost(at) })
+	service, slots := n.reducer.self.Service(), n.reducer.self.Slots()
+	n.h.after(backendRestart, func() { n.h.announce(n.name, service, slots, false) })
+}
+
 // freeze stops a process for a span. What arrives meanwhile waits.
 func (h *harness) freeze(name string, span jackdawbridge.Millis) {
 	n := h.nodes[name]
--- a/reducer/membership.go
+++ b/reducer/membership.go
@@ -88,6 +88,18 @@
 	p.r.authority.gone(node)
 }
 
+// sample returns up to n random members.
+func (p *members) sample(n int) []jackdawbridge.Peer {
+	var peers []jackdawbridge.Peer
+	for _, m := range p.known {
+		if len(peers) == n {
+			break
+		}
+		peers = append(peers, m.peer)
+	}
+	return peers
+}
+
 // probe answers a probe.
 func (p *members) probe(from jackdawbridge.Peer, m *jackdawbridge.Probe) {
 	p.r.send(from, jackdawbridge.NewProbeAck(m.Sequence(), nil))
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -56,6 +56,7 @@
 	if e.Draining() || p.r.drain.stopping {
 		state = jackdawbridge.PeerDraining
 	}
+	p.r.drain.note(state)
 	self := p.r.self.WithBackend(e.Service(), e.Slots(), e.Conns()).WithState(state)
 	if self == p.r.self {
 		return
@@ -67,7 +68,7 @@
 
 // lost takes note that the own backend server is gone.
 func (p *runs) lost() {
-	if p.r.self.State() != jackdawbridge.PeerServing {
+	if p.r.self.State() == jackdawbridge.PeerStarting {
 		return
 	}
 	p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server is gone").With(string(p.r.self.Service()), int64(p.running))
@@ -88,6 +89,9 @@
 // arrive queues a forwarded request, or refuses it.
 func (p *runs) arrive(e *jackdawbridge.ForwardArrived) {
 	envelope := e.Envelope()
+	if p.r.quarantine.check(envelope.Fingerprint()) == verdictAlone {
+		envelope = envelope.WithFingerprint(envelope.Fingerprint(), true)
+	}
 	u := p.free.Take()
 	u.id = e.Call()
 	u.envelope = envelope
@@ -111,9 +115,9 @@
 // check returns why a forwarded request cannot run here, if so.
 func (p *runs) check(envelope jackdawbridge.Envelope) jackdawbridge.Reason {
 	switch {
-	case p.r.self.State() == jackdawbridge.PeerDraining:
+	case p.r.drain.refuses():
 		return jackdawbridge.Draining
-	case p.r.self.State() != jackdawbridge.PeerServing:
+	case p.r.self.State() == jackdawbridge.PeerStarting:
 		return jackdawbridge.BackendDown
 	case envelope.Service() != p.r.self.Service():
 		return jackdawbridge.UnknownService
@@ -171,6 +175,12 @@
 	if u.state == runRunning && e.Outcome() != jackdawbridge.Served {
 		p.fail(u, e.Outcome())
 	}
+	switch e.Outcome() {
+	case jackdawbridge.Served:
+		p.r.quarantine.served(u.envelope.Fingerprint())
+	case jackdawbridge.Unknown:
+		p.r.quarantine.broke(u.envelope.Fingerprint())
+	}
 	p.stop(u, e.Outcome() != jackdawbridge.Served)
 	p.pump()
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -45,7 +45,11 @@
 	case "announce":
 		h.announce(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), number(d, "slots", 4), arg(d, "state", "") == "draining")
 	case "crash":
-		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewBackendLost(at) })
+		h.nodes[arg(d, "node", "")].crash()
+	case "crashes":
+		return h.crashCounts(), nil
+	case "exited":
+		return fmt.Sprint(h.nodes[arg(d, "node", "")].exited), nil
 	case "stop":
 		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewStopRequested(at) })
 	case "kill":
@@ -224,6 +228,17 @@
 	return strings.Join(lines, "\n")
 }
 
+// crashCounts returns how often each node's backend server crashed.
+func (h *harness) crashCounts() string {
+	var lines []string
+	for _, name := range h.order {
+		if n := h.nodes[name]; n.crashes > 0 {
+			lines = append(lines, fmt.Sprintf("%s: %d", name, n.crashes))
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // grep returns the log lines of a part, of one node or of all.
 func (h *harness) grep(part, node string) string {
 	var lines []string
