wire: protobuf codec, checks of decoded values and the seal

Cause: nodes need one encoding for frames, envelopes and stored values, and must refuse what breaks an invariant of the root types.

Ruled out: checks inside the decoder (the sender would then emit what every receiver refuses); a node inside each of the 64 holders (names repeat, so holders are numbers into a list of nodes).

Change: the checks live in the root package (Frame.Check, Envelope.Check, Peer.Check, Refusal.Check, CheckValue) and serve both directions.

--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,142 @@
+// Package wire encodes frames, envelopes and stored values as protobuf and
+// seals what travels between nodes. It decides nothing: what it accepts is
+// defined by the checks of the root package.
+package wire
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/go-faster/errors"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/wire/pb"
+)
+
+// Codec is the protobuf codec. The zero value is ready to use.
+type Codec struct{}
+
+var _ jackdawbridge.Codec = Codec{}
+
+// Fields that a newer version has added are ignored, so that versions can be
+// mixed during a rollout.
+var unmarshal = proto.UnmarshalOptions{DiscardUnknown: true, RecursionLimit: 16}
+
+// EncodeFrame returns the bytes of a valid frame.
+func (Codec) EncodeFrame(frame jackdawbridge.Frame) ([]byte, error) {
+	if err := frame.Check(); err != nil {
+		return nil, errors.Errorf("encode frame: %w", err)
+	}
+	f := &pb.Frame{From: fromPeer(frame.From()), Digest: fromDigest(frame.Digest())}
+	setMessage(f, frame.Message())
+	data, err := proto.Marshal(f)
+	if err != nil {
+		return nil, errors.Errorf("encode frame: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeFrame returns the frame in data.
+func (Codec) DecodeFrame(data []byte) (jackdawbridge.Frame, error) {
+	var f pb.Frame
+	if err := unmarshal.Unmarshal(data, &f); err != nil {
+		return jackdawbridge.Frame{}, errors.Errorf("decode frame: %w", err)
+	}
+	var d decoder
+	frame := jackdawbridge.NewFrame(d.peer(f.From), d.digest(f.Digest), d.message(&f))
+	if d.err == nil {
+		d.err = frame.Check()
+	}
+	if d.err != nil {
+		return jackdawbridge.Frame{}, errors.Errorf("decode frame: %w", d.err)
+	}
+	return frame, nil
+}
+
+// EncodeEnvelope returns the bytes of a valid envelope.
+func (Codec) EncodeEnvelope(e jackdawbridge.Envelope) ([]byte, error) {
+	if err := e.Check(); err != nil {
+		return nil, errors.Errorf("encode envelope: %w", err)
+	}
+	data, err := proto.Marshal(&pb.Envelope{
+		Id: string(e.ID()), Account: string(e.Account()), Service: string(e.Service()),
+		Criticality: uint32(e.Criticality()), Bought: e.Bought(), Idempotent: e.Idempotent(),
+		Budget: int64(e.Budget()), Allowance: int64(e.Allowance()), Depth: int64(e.Depth()),
+		Fingerprint: uint64(e.Fingerprint()), Alone: e.Alone(),
+	})
+	if err != nil {
+		return nil, errors.Errorf("encode envelope: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeEnvelope returns the envelope in data.
+func (Codec) DecodeEnvelope(data []byte) (jackdawbridge.Envelope, error) {
+	var p pb.Envelope
+	if err := unmarshal.Unmarshal(data, &p); err != nil {
+		return jackdawbridge.Envelope{}, errors.Errorf("decode envelope: %w", err)
+	}
+	var d decoder
+	e := jackdawbridge.NewEnvelope(
+		jackdawbridge.RequestID(p.Id), jackdawbridge.AccountName(p.Account), jackdawbridge.ServiceName(p.Service),
+		enum[jackdawbridge.Criticality](&d, p.Criticality), jackdawbridge.Millis(p.Budget),
+	).WithBought(p.Bought).WithIdempotent(p.Idempotent).WithAllowance(int(p.Allowance)).
+		WithDepth(int(p.Depth)).WithFingerprint(jackdawbridge.Fingerprint(p.Fingerprint), p.Alone)
+	if d.err == nil {
+		d.err = e.Check()
+	}
+	if d.err != nil {
+		return jackdawbridge.Envelope{}, errors.Errorf("decode envelope: %w", d.err)
+	}
+	return e, nil
+}
+
+// EncodeValue returns the bytes of a stored value. Whether the value fits its
+// record is checked when it is decoded, with the name of the record.
+func (Codec) EncodeValue(value jackdawbridge.Value) ([]byte, error) {
+	var v pb.Value
+	switch value := value.(type) {
+	case *jackdawbridge.Table:
+		v.Value = &pb.Value_Table{Table: &pb.Table{
+			Revision: value.Revision(), Change: value.Change(), Entries: each(value.Entries(), fromEntry),
+		}}
+	case *jackdawbridge.Ranges:
+		v.Value = &pb.Value_Ranges{Ranges: fromRanges(value)}
+	case *jackdawbridge.Seed:
+		v.Value = &pb.Value_Seed{Seed: fromPeer(value.Peer())}
+	default:
+		return nil, errors.Errorf("encode value: %T is unknown", value)
+	}
+	data, err := proto.Marshal(&v)
+	if err != nil {
+		return nil, errors.Errorf("encode value: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeValue returns the value in data as one of the named record.
+func (Codec) DecodeValue(name jackdawbridge.RecordName, data []byte) (jackdawbridge.Value, error) {
+	var p pb.Value
+	if err := unmarshal.Unmarshal(data, &p); err != nil {
+		return nil, errors.Errorf("decode value of %s: %w", name, err)
+	}
+	var d decoder
+	value := d.value(&p)
+	if d.err == nil {
+		d.err = jackdawbridge.CheckValue(name, value)
+	}
+	if d.err != nil {
+		return nil, errors.Errorf("decode value of %s: %w", name, d.err)
+	}
+	return value, nil
+}
+
+func each[A, B any](list []A, f func(A) B) []B {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]B, len(list))
+	for i, v := range list {
+		out[i] = f(v)
+	}
+	return out
+}
--- /dev/null
+++ b/wire/codec_test.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"google.golang.org/protobuf/encoding/prototext"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/wire/pb"
+)
+
+var equal = cmp.Options{
+	cmp.Exporter(func(reflect.Type) bool { return true }), cmpopts.EquateEmpty(),
+	cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }),
+}
+
+// recode decodes data of the given kind and encodes the result.
+func recode(kind string, name jackdawbridge.RecordName, data []byte) (value any, again []byte, err error) {
+	var c Codec
+	switch kind {
+	case "frame":
+		f, err := c.DecodeFrame(data)
+		if err != nil {
+			return nil, nil, err
+		}
+		again, err = c.EncodeFrame(f)
+		return f, again, err
+	case "envelope":
+		e, err := c.DecodeEnvelope(data)
+		if err != nil {
+			return nil, nil, err
+		}
+		again, err = c.EncodeEnvelope(e)
+		return e, again, err
+	default:
+		v, err := c.DecodeValue(name, data)
+		if err != nil {
+			return nil, nil, err
+		}
+		again, err = c.EncodeValue(v)
+		return v, again, err
+	}
+}
+
+// TestCodec guards against fields lost in translation and against input that
+// breaks an invariant and is accepted.
+func TestCodec(t *testing.T) {
+	kinds := map[string]proto.Message{"frame": &pb.Frame{}, "envelope": &pb.Envelope{}, "value": &pb.Value{}}
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if strings.Contains(path, "fuzz") {
+			return
+		}
+		var defined []string
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			text := strings.NewReplacer(defined...).Replace(d.Input)
+			if d.Cmd == "define" {
+				defined = append(defined, "$"+d.CmdArgs[0].Key, text)
+				return ""
+			}
+			want, part := proto.Clone(kinds[d.Cmd]), proto.Clone(kinds[d.Cmd])
+			for text := range strings.SplitSeq(text, "|") {
+				if err := prototext.Unmarshal([]byte(text), part); err != nil {
+					d.Fatalf(t, "%v", err)
+				}
+				proto.Merge(want, part)
+			}
+			data, err := proto.Marshal(want)
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			var name string
+			d.MaybeScanArgs(t, "name", &name)
+			_, again, err := recode(d.Cmd, jackdawbridge.RecordName(name), data)
+			if err != nil {
+				return err.Error()
+			}
+			got := proto.Clone(kinds[d.Cmd])
+			if err := proto.Unmarshal(again, got); err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" {
+				return diff
+			}
+			return "ok"
+		})
+	})
+}
+
+// fuzz guards against panics, and against accepted input that is encoded as
+// something else.
+func fuzz(t *testing.T, kind string, name jackdawbridge.RecordName, data []byte) {
+	value, again, err := recode(kind, name, data)
+	if value == nil {
+		return
+	}
+	if err != nil {
+		t.Fatalf("decoded but not encoded: %v", err)
+	}
+	other, _, err := recode(kind, name, again)
+	if err != nil {
+		t.Fatalf("encoded but not decoded: %v", err)
+	}
+	if diff := cmp.Diff(value, other, equal); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func FuzzFrame(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) { fuzz(t, "frame", "", data) })
+}
+
+func FuzzEnvelope(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) { fuzz(t, "envelope", "", data) })
+}
+
+func FuzzValue(f *testing.F) {
+	f.Fuzz(func(t *testing.T, name string, data []byte) {
+		fuzz(t, "value", jackdawbridge.RecordName(name), data)
+	})
+}
--- /dev/null
+++ b/wire/decode.go
@@ -0,0 +1,275 @@
+package wire
+
+import (
+	"net/netip"
+
+	"github.com/go-faster/errors"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/wire/pb"
+)
+
+// decoder builds values and keeps the first failure. What it returns after a
+// failure is not used.
+type decoder struct{ err error }
+
+func (d *decoder) fail(err error) {
+	if d.err == nil {
+		d.err = err
+	}
+}
+
+// enum refuses numbers that a conversion to 8 bits would turn into known ones.
+func enum[T ~uint8](d *decoder, v uint32) T {
+	if v > 255 {
+		d.fail(errors.Errorf("enumeration value is %d: want at most 255", v))
+	}
+	return T(v)
+}
+
+func (d *decoder) node(p *pb.Node) jackdawbridge.Node {
+	if p == nil {
+		d.fail(errors.New("node is missing"))
+	}
+	return jackdawbridge.NewNode(jackdawbridge.Instance(p.GetInstance()), p.GetIncarnation())
+}
+
+func (d *decoder) address(data []byte) netip.AddrPort {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(data); err != nil {
+		d.fail(errors.Errorf("address: %w", err))
+	}
+	return a
+}
+
+func (d *decoder) peer(p *pb.Peer) jackdawbridge.Peer {
+	if p == nil {
+		d.fail(errors.New("peer is missing"))
+		return jackdawbridge.Peer{}
+	}
+	addresses := jackdawbridge.NewAddresses(d.address(p.Gossip), d.address(p.Rpc), d.address(p.Http))
+	return jackdawbridge.NewPeer(d.node(p.Node), jackdawbridge.DataCentre(p.Centre), addresses).
+		WithBackend(jackdawbridge.ServiceName(p.Service), int(p.Slots), int(p.Conns)).
+		WithState(enum[jackdawbridge.PeerState](d, p.State)).WithVersion(p.Version)
+}
+
+func (d *decoder) digest(p *pb.Digest) jackdawbridge.Digest {
+	if p == nil {
+		d.fail(errors.New("digest is missing"))
+	}
+	return jackdawbridge.NewDigest(p.GetConfig(), p.GetKeys(), p.GetEpoch(), jackdawbridge.Millis(p.GetConfirmed()))
+}
+
+func (d *decoder) rumor(p *pb.Rumor) jackdawbridge.Rumor {
+	return jackdawbridge.NewRumor(d.peer(p.GetPeer()), enum[jackdawbridge.Suspicion](d, p.GetSuspicion()))
+}
+
+func (d *decoder) account(p *pb.Account) *jackdawbridge.Account {
+	shares := each(p.GetShares(), func(s *pb.Share) jackdawbridge.Share {
+		share, err := jackdawbridge.NewShare(jackdawbridge.DataCentre(s.GetCentre()), int(s.GetPermille()))
+		if err != nil {
+			d.fail(err)
+		}
+		return share
+	})
+	a, err := jackdawbridge.NewAccount(jackdawbridge.AccountName(p.GetName()), p.GetRate(), p.GetBurst(), shares)
+	if err != nil {
+		d.fail(err)
+		return nil
+	}
+	return a.WithBought(p.GetBought()).WithUnconfirmed(p.GetUnconfirmed())
+}
+
+func (d *decoder) service(p *pb.Service) *jackdawbridge.Service {
+	s, err := jackdawbridge.NewService(jackdawbridge.ServiceName(p.GetName()), each(p.GetRoutes(), func(r *pb.Route) *jackdawbridge.Route {
+		criticality := enum[jackdawbridge.Criticality](d, r.GetCriticality())
+		route, err := jackdawbridge.NewRoute(r.GetPrefix(), r.GetMethods(), criticality, r.GetIdempotent(), r.GetOpen())
+		if err != nil {
+			d.fail(err)
+		}
+		return route
+	}))
+	if err != nil {
+		d.fail(err)
+	}
+	return s
+}
+
+func (d *decoder) key(p *pb.Key) *jackdawbridge.Key {
+	var hash jackdawbridge.KeyHash
+	if copy(hash[:], p.GetHash()); len(p.GetHash()) != len(hash) {
+		d.fail(errors.Errorf("key hash has %d bytes: want %d", len(p.GetHash()), len(hash)))
+	}
+	k, err := jackdawbridge.NewKey(hash, jackdawbridge.AccountName(p.GetAccount()), p.GetLabel())
+	if err != nil {
+		d.fail(err)
+	}
+	return k
+}
+
+func (d *decoder) entry(p *pb.Entry) jackdawbridge.Entry {
+	var e jackdawbridge.Entry
+	switch v := p.GetValue().(type) {
+	case *pb.Entry_Account:
+		if a := d.account(v.Account); a != nil {
+			e = jackdawbridge.AccountEntry(a)
+		}
+	case *pb.Entry_Service:
+		if s := d.service(v.Service); s != nil {
+			e = jackdawbridge.ServiceEntry(s)
+		}
+	case *pb.Entry_Key:
+		if k := d.key(v.Key); k != nil {
+			e = jackdawbridge.KeyEntry(k)
+		}
+	case *pb.Entry_Tombstone:
+		e = jackdawbridge.Tombstone(v.Tombstone)
+	default:
+		d.fail(errors.New("entry is empty"))
+	}
+	return e.At(p.GetRevision())
+}
+
+func (d *decoder) holders(nodes []jackdawbridge.Node, numbers []uint32) (holders [jackdawbridge.RangeCount]jackdawbridge.Node) {
+	if len(numbers) != len(holders) {
+		d.fail(errors.Errorf("%d holders: want %d", len(numbers), len(holders)))
+		return holders
+	}
+	for i, n := range numbers {
+		switch {
+		case int(n) > len(nodes):
+			d.fail(errors.Errorf("holder of range %d is node %d: want at most %d", i, n, len(nodes)))
+		case n > 0:
+			holders[i] = nodes[n-1]
+		}
+	}
+	return holders
+}
+
+func (d *decoder) ranges(p *pb.Ranges) *jackdawbridge.Ranges {
+	if p == nil {
+		d.fail(errors.New("range record is missing"))
+		return nil
+	}
+	nodes := each(p.Nodes, d.node)
+	holders := d.holders(nodes, p.Holders)
+	witnesses := each(p.Witnesses, d.node)
+	if p.Pending {
+		return jackdawbridge.RestorePending(p.Epoch, holders, d.holders(nodes, p.Previous), witnesses, each(p.Electors, d.node))
+	}
+	if len(p.Previous) > 0 || len(p.Electors) > 0 {
+		d.fail(errors.New("settled range record has previous holders or electors"))
+	}
+	return jackdawbridge.NewRanges(p.Epoch, holders, witnesses)
+}
+
+func (d *decoder) value(p *pb.Value) jackdawbridge.Value {
+	switch v := p.Value.(type) {
+	case *pb.Value_Table:
+		t, err := jackdawbridge.NewTable(v.Table.GetRevision(), v.Table.GetChange(), each(v.Table.GetEntries(), d.entry))
+		if err != nil {
+			d.fail(err)
+		}
+		return t
+	case *pb.Value_Ranges:
+		return d.ranges(v.Ranges)
+	case *pb.Value_Seed:
+		return jackdawbridge.NewSeed(d.peer(v.Seed))
+	}
+	d.fail(errors.New("value is empty"))
+	return nil
+}
+
+func (d *decoder) message(f *pb.Frame) jackdawbridge.Message {
+	switch m := f.Message.(type) {
+	case *pb.Frame_Probe:
+		return jackdawbridge.NewProbe(m.Probe.GetSequence(), each(m.Probe.GetRumors(), d.rumor))
+	case *pb.Frame_Ack:
+		return jackdawbridge.NewProbeAck(m.Ack.GetSequence(), each(m.Ack.GetRumors(), d.rumor))
+	case *pb.Frame_Via:
+		return jackdawbridge.NewProbeVia(m.Via.GetSequence(), d.peer(m.Via.GetTarget()))
+	case *pb.Frame_Members:
+		rumors := each(m.Members.GetRumors(), d.rumor)
+		if m.Members.GetRequest() {
+			if len(rumors) > 0 {
+				d.fail(errors.New("request for members carries rumors"))
+			}
+			return jackdawbridge.NewMembersRequest()
+		}
+		return jackdawbridge.NewMembers(rumors)
+	case *pb.Frame_Leave:
+		return jackdawbridge.NewLeave()
+	case *pb.Frame_Newer:
+		return jackdawbridge.NewNewer()
+	case *pb.Frame_Pull:
+		return jackdawbridge.NewPull(jackdawbridge.RecordName(m.Pull.GetName()), m.Pull.GetSince())
+	case *pb.Frame_Delta:
+		return jackdawbridge.NewDelta(jackdawbridge.RecordName(m.Delta.GetName()), m.Delta.GetSince(), m.Delta.GetRevision(),
+			m.Delta.GetChange(), each(m.Delta.GetEntries(), d.entry))
+	case *pb.Frame_Snapshot:
+		return jackdawbridge.NewRangesDelta(jackdawbridge.DataCentre(m.Snapshot.GetCentre()), m.Snapshot.GetVersion(), d.ranges(m.Snapshot.GetRanges()))
+	case *pb.Frame_Acknowledge:
+		return jackdawbridge.NewAcknowledge(jackdawbridge.DataCentre(m.Acknowledge.GetCentre()), m.Acknowledge.GetVersion(), d.ranges(m.Acknowledge.GetRanges()))
+	case *pb.Frame_Vouch:
+		return jackdawbridge.NewVouch(m.Vouch.GetEpoch(), jackdawbridge.Millis(m.Vouch.GetAsked()))
+	case *pb.Frame_Vouched:
+		return jackdawbridge.NewVouched(m.Vouched.GetEpoch(), jackdawbridge.Millis(m.Vouched.GetAsked()))
+	case *pb.Frame_Acknowledged:
+		return jackdawbridge.NewAcknowledged(m.Acknowledged.GetEpoch())
+	}
+	return d.exchange(f)
+}
+
+// exchange decodes the messages about shares, idempotency keys and crashes.
+func (d *decoder) exchange(f *pb.Frame) jackdawbridge.Message {
+	switch m := f.Message.(type) {
+	case *pb.Frame_Ask:
+		p := m.Ask
+		return jackdawbridge.NewAsk(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetTokens())
+	case *pb.Frame_Grant:
+		p := m.Grant
+		return jackdawbridge.NewGrant(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetTokens())
+	case *pb.Frame_Deny:
+		p := m.Deny
+		return jackdawbridge.NewDeny(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), jackdawbridge.Millis(p.GetAfter()))
+	case *pb.Frame_Report:
+		p := m.Report
+		return jackdawbridge.NewReport(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetSpent(), p.GetReturned())
+	case *pb.Frame_Handover:
+		p := m.Handover
+		return jackdawbridge.NewHandover(jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetEpoch(), p.GetLevel(), p.GetOutstanding())
+	case *pb.Frame_Begin:
+		p := m.Begin
+		return jackdawbridge.NewBegin(jackdawbridge.RequestID(p.GetRequest()), jackdawbridge.AccountName(p.GetAccount()), p.GetKey())
+	case *pb.Frame_Begun:
+		id, key, r := jackdawbridge.RequestID(m.Begun.GetRequest()), m.Begun.GetKey(), m.Begun.GetRefusal()
+		if r == nil {
+			return jackdawbridge.NewBegun(id, key)
+		}
+		return jackdawbridge.NewBegunRefused(id, key, d.refusal(r))
+	case *pb.Frame_Ended:
+		p := m.Ended
+		return jackdawbridge.NewEnded(jackdawbridge.RequestID(p.GetRequest()), jackdawbridge.AccountName(p.GetAccount()), p.GetKey(),
+			enum[jackdawbridge.Outcome](d, p.GetOutcome()), int(p.GetStatus()))
+	case *pb.Frame_Crash:
+		p := m.Crash
+		return jackdawbridge.NewCrash(d.node(p.GetNode()), p.GetSequence(), jackdawbridge.Millis(p.GetAge()),
+			each(p.GetFingerprints(), func(f uint64) jackdawbridge.Fingerprint { return jackdawbridge.Fingerprint(f) }))
+	}
+	d.fail(errors.New("message is missing or unknown"))
+	return nil
+}
+
+func (d *decoder) refusal(p *pb.Refusal) jackdawbridge.Refusal {
+	reason := enum[jackdawbridge.Reason](d, p.GetReason())
+	var r jackdawbridge.Refusal
+	switch outcome := enum[jackdawbridge.Outcome](d, p.GetOutcome()); outcome {
+	case jackdawbridge.NotRun:
+		r = jackdawbridge.NotRunRefusal(reason)
+	case jackdawbridge.Unknown:
+		r = jackdawbridge.UnknownRefusal(reason)
+	default:
+		d.fail(errors.Errorf("outcome %d is not one of a refusal", outcome))
+	}
+	return r.WithRetryAfter(jackdawbridge.Millis(p.GetAfter())).WithStatus(int(p.GetStatus()))
+}
--- /dev/null
+++ b/wire/encode.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"net/netip"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/wire/pb"
+)
+
+func fromNode(n jackdawbridge.Node) *pb.Node {
+	return &pb.Node{Instance: string(n.Instance()), Incarnation: n.Incarnation()}
+}
+
+func fromAddress(a netip.AddrPort) []byte {
+	data, _ := a.MarshalBinary() // never fails
+	return data
+}
+
+func fromPeer(p jackdawbridge.Peer) *pb.Peer {
+	return &pb.Peer{
+		Node: fromNode(p.Node()), Centre: string(p.DataCentre()),
+		Gossip: fromAddress(p.Addresses().Gossip()), Rpc: fromAddress(p.Addresses().RPC()), Http: fromAddress(p.Addresses().HTTP()),
+		Service: string(p.Service()), Slots: int64(p.Slots()), Conns: int64(p.Conns()),
+		State: uint32(p.State()), Version: p.Version(),
+	}
+}
+
+func fromDigest(d jackdawbridge.Digest) *pb.Digest {
+	return &pb.Digest{Config: d.Config(), Keys: d.Keys(), Epoch: d.Epoch(), Confirmed: int64(d.Confirmed())}
+}
+
+func fromRumor(r jackdawbridge.Rumor) *pb.Rumor {
+	return &pb.Rumor{Peer: fromPeer(r.Peer()), Suspicion: uint32(r.Suspicion())}
+}
+
+func fromEntry(e jackdawbridge.Entry) *pb.Entry {
+	p := &pb.Entry{Revision: e.Revision()}
+	switch {
+	case e.Account() != nil:
+		a := e.Account()
+		p.Value = &pb.Entry_Account{Account: &pb.Account{
+			Name: string(a.Name()), Rate: a.Rate(), Burst: a.Burst(), Bought: a.Bought(), Unconfirmed: a.ServeUnconfirmed(),
+			Shares: each(a.Shares(), func(s jackdawbridge.Share) *pb.Share {
+				return &pb.Share{Centre: string(s.DataCentre()), Permille: int64(s.Permille())}
+			}),
+		}}
+	case e.Service() != nil:
+		s := e.Service()
+		p.Value = &pb.Entry_Service{Service: &pb.Service{
+			Name: string(s.Name()),
+			Routes: each(s.Routes(), func(r *jackdawbridge.Route) *pb.Route {
+				return &pb.Route{
+					Prefix: r.Prefix(), Methods: r.Methods(), Criticality: uint32(r.Criticality()),
+					Idempotent: r.Idempotent(), Open: r.Open(),
+				}
+			}),
+		}}
+	case e.Key() != nil:
+		k := e.Key()
+		hash := k.Hash()
+		p.Value = &pb.Entry_Key{Key: &pb.Key{Hash: hash[:], Account: string(k.Account()), Label: k.Label()}}
+	default:
+		p.Value = &pb.Entry_Tombstone{Tombstone: e.Name()}
+	}
+	return p
+}
+
+func fromRanges(r *jackdawbridge.Ranges) *pb.Ranges {
+	p := &pb.Ranges{
+		Epoch: r.Epoch(), Pending: r.Pending(),
+		Witnesses: each(r.Witnesses(), fromNode), Electors: each(r.Electors(), fromNode),
+	}
+	numbers := map[jackdawbridge.Node]uint32{{}: 0}
+	number := func(n jackdawbridge.Node) uint32 {
+		i, ok := numbers[n]
+		if !ok {
+			p.Nodes = append(p.Nodes, fromNode(n))
+			i = uint32(len(p.Nodes))
+			numbers[n] = i
+		}
+		return i
+	}
+	for i := range jackdawbridge.RangeCount {
+		p.Holders = append(p.Holders, number(r.Holder(i)))
+		if r.Pending() {
+			p.Previous = append(p.Previous, number(r.Previous(i)))
+		}
+	}
+	return p
+}
+
+func fromSnapshot(dc jackdawbridge.DataCentre, version uint64, r *jackdawbridge.Ranges) *pb.Snapshot {
+	return &pb.Snapshot{Centre: string(dc), Version: version, Ranges: fromRanges(r)}
+}
+
+// setMessage sets the message of f. The frame has been checked, so the message
+// is of a known type.
+func setMessage(f *pb.Frame, message jackdawbridge.Message) {
+	switch m := message.(type) {
+	case *jackdawbridge.Probe:
+		f.Message = &pb.Frame_Probe{Probe: &pb.Probe{Sequence: m.Sequence(), Rumors: each(m.Rumors(), fromRumor)}}
+	case *jackdawbridge.ProbeAck:
+		f.Message = &pb.Frame_Ack{Ack: &pb.Probe{Sequence: m.Sequence(), Rumors: each(m.Rumors(), fromRumor)}}
+	case *jackdawbridge.ProbeVia:
+		f.Message = &pb.Frame_Via{Via: &pb.Via{Sequence: m.Sequence(), Target: fromPeer(m.Target())}}
+	case *jackdawbridge.Members:
+		f.Message = &pb.Frame_Members{Members: &pb.Members{Request: m.Request(), Rumors: each(m.Rumors(), fromRumor)}}
+	case *jackdawbridge.Leave:
+		f.Message = &pb.Frame_Leave{Leave: &pb.Empty{}}
+	case *jackdawbridge.Newer:
+		f.Message = &pb.Frame_Newer{Newer: &pb.Empty{}}
+	case *jackdawbridge.Pull:
+		f.Message = &pb.Frame_Pull{Pull: &pb.Pull{Name: string(m.Name()), Since: m.Since()}}
+	case *jackdawbridge.Delta:
+		f.Message = &pb.Frame_Delta{Delta: &pb.Delta{
+			Name: string(m.Name()), Since: m.Since(), Revision: m.Revision(), Change: m.Change(), Entries: each(m.Entries(), fromEntry),
+		}}
+	case *jackdawbridge.RangesDelta:
+		f.Message = &pb.Frame_Snapshot{Snapshot: fromSnapshot(m.DataCentre(), m.Version(), m.Ranges())}
+	case *jackdawbridge.Acknowledge:
+		f.Message = &pb.Frame_Acknowledge{Acknowledge: fromSnapshot(m.DataCentre(), m.Version(), m.Ranges())}
+	case *jackdawbridge.Vouch:
+		f.Message = &pb.Frame_Vouch{Vouch: &pb.Vouch{Epoch: m.Epoch(), Asked: int64(m.Asked())}}
+	case *jackdawbridge.Vouched:
+		f.Message = &pb.Frame_Vouched{Vouched: &pb.Vouch{Epoch: m.Epoch(), Asked: int64(m.Asked())}}
+	case *jackdawbridge.Acknowledged:
+		f.Message = &pb.Frame_Acknowledged{Acknowledged: &pb.Acknowledged{Epoch: m.Epoch()}}
+	case *jackdawbridge.Ask:
+		f.Message = &pb.Frame_Ask{Ask: &pb.Ask{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), Tokens: m.Want()}}
+	case *jackdawbridge.Grant:
+		f.Message = &pb.Frame_Grant{Grant: &pb.Ask{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), Tokens: m.Tokens()}}
+	case *jackdawbridge.Deny:
+		f.Message = &pb.Frame_Deny{Deny: &pb.Deny{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), After: int64(m.After())}}
+	case *jackdawbridge.Report:
+		f.Message = &pb.Frame_Report{Report: &pb.Report{
+			Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), Spent: m.Spent(), Returned: m.Returned(),
+		}}
+	case *jackdawbridge.Handover:
+		f.Message = &pb.Frame_Handover{Handover: &pb.Handover{
+			Account: string(m.Account()), Lot: int64(m.Lot()), Epoch: m.Epoch(), Level: m.Level(), Outstanding: m.Outstanding(),
+		}}
+	case *jackdawbridge.Begin:
+		f.Message = &pb.Frame_Begin{Begin: &pb.Begin{Request: string(m.Request()), Account: string(m.Account()), Key: m.Key()}}
+	case *jackdawbridge.Begun:
+		begun := &pb.Begun{Request: string(m.Request()), Key: m.Key()}
+		if r, refused := m.Refusal(); refused {
+			begun.Refusal = &pb.Refusal{
+				Reason: uint32(r.Reason()), Outcome: uint32(r.Outcome()), After: int64(r.RetryAfter()), Status: int64(r.Status()),
+			}
+		}
+		f.Message = &pb.Frame_Begun{Begun: begun}
+	case *jackdawbridge.Ended:
+		f.Message = &pb.Frame_Ended{Ended: &pb.Ended{
+			Request: string(m.Request()), Account: string(m.Account()), Key: m.Key(), Outcome: uint32(m.Outcome()), Status: int64(m.Status()),
+		}}
+	case *jackdawbridge.Crash:
+		f.Message = &pb.Frame_Crash{Crash: &pb.Crash{
+			Node: fromNode(m.Node()), Sequence: m.Sequence(), Age: int64(m.Age()),
+			Fingerprints: each(m.Fingerprints(), func(f jackdawbridge.Fingerprint) uint64 { return uint64(f) }),
+		}}
+	}
+}
--- /dev/null
+++ b/wire/seal_test.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+type manual struct{ now jackdawbridge.Millis }
+
+func (m *manual) Now() jackdawbridge.Millis { return m.now }
+
+var (
+	first  = []byte("first secret of the fleet")
+	second = []byte("second secret of the fleet")
+)
+
+func newSealer(tb testing.TB, c jackdawbridge.Clock, secrets ...[]byte) *Sealer {
+	tb.Helper()
+	s, err := NewSealer(c, secrets...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+// TestSealer guards against captures that stay valid, against a rotation that
+// breaks the fleet, and against frames accepted as envelopes.
+func TestSealer(t *testing.T) {
+	c := &manual{now: 1_700_000_000_000}
+	old, both, newest := newSealer(t, c, first), newSealer(t, c, second, first), newSealer(t, c, second)
+	frame := old.Seal([]byte("frame"))
+	header := both.SealHeader([]byte("envelope"))
+	for _, test := range []struct {
+		name   string
+		sealer *Sealer
+		at     jackdawbridge.Millis
+		open   func(*Sealer) ([]byte, error)
+		want   error
+	}{
+		{"same secret", old, 0, func(s *Sealer) ([]byte, error) { return s.Open(frame) }, nil},
+		{"rotating receiver", both, SealAge, func(s *Sealer) ([]byte, error) { return s.Open(frame) }, nil},
+		{"secret rotated out", newest, 0, func(s *Sealer) ([]byte, error) { return s.Open(frame) }, ErrSignature},
+		{"first secret signs", newest, 0, func(s *Sealer) ([]byte, error) { return s.OpenHeader(header) }, nil},
+		{"old capture", old, SealAge + 1, func(s *Sealer) ([]byte, error) { return s.Open(frame) }, ErrExpired},
+		{"from the future", old, -SealAge - 1, func(s *Sealer) ([]byte, error) { return s.Open(frame) }, ErrExpired},
+		{"envelope as frame", both, 0, func(s *Sealer) ([]byte, error) { return s.Open(both.seal(purposeEnvelope, nil)) }, ErrMalformed},
+		{"no base64url", both, 0, func(s *Sealer) ([]byte, error) { return s.OpenHeader("+/=") }, ErrMalformed},
+		{"short", both, 0, func(s *Sealer) ([]byte, error) { return s.Open(frame[:Overhead-1]) }, ErrMalformed},
+	} {
+		c.now = 1_700_000_000_000 + test.at
+		if _, err := test.open(test.sealer); !errors.Is(err, test.want) {
+			t.Errorf("%s: error is %v: want %v", test.name, err, test.want)
+		}
+	}
+	if bytes.Equal(old.Seal(nil), old.Seal(nil)) {
+		t.Error("two seals of the same frame are equal: want different nonces")
+	}
+	if _, err := NewSealer(c, first, []byte("short")); err == nil {
+		t.Error("a short secret is accepted")
+	}
+}
+
+// FuzzSeal guards against panics, and against forged or altered input that
+// is accepted.
+func FuzzSeal(f *testing.F) {
+	c := &manual{now: 1_700_000_000_000}
+	s := newSealer(f, c, first, second)
+	f.Fuzz(func(t *testing.T, data []byte, text string, at uint16, bit uint8) {
+		if _, err := s.Open(data); err == nil {
+			t.Fatal("forged frame is accepted")
+		}
+		if _, err := s.OpenHeader(text); err == nil {
+			t.Fatal("forged header is accepted")
+		}
+		sealed := s.Seal(data)
+		got, err := s.Open(sealed)
+		if diff := cmp.Diff(data, slices.Clip(got)); err != nil || diff != "" && len(data) > 0 {
+			t.Fatalf("error %v\n%s", err, diff)
+		}
+		sealed[int(at)%len(sealed)] ^= 1 << (bit % 8)
+		if _, err := s.Open(sealed); err == nil {
+			t.Fatal("altered frame is accepted")
+		}
+	})
+}
