clock: the system clock

Cause: the runtime needs a clock that never goes back and notices a suspended machine, because leases and tokens must lapse while it is suspended.

Ruled out: CLOCK_BOOTTIME, which tells a suspension from a correction of the wall clock but does not advance while a virtual machine is paused; comparing with the start of the process, which adds up small corrections.

--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,44 @@
+package clock
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestSystem guards against a clock that follows corrections of the wall clock
+// or misses a suspended machine.
+func TestSystem(t *testing.T) {
+	var wall, mono time.Duration
+	var s *System
+	datadriven.RunTest(t, "testdata/system", func(t *testing.T, d *datadriven.TestData) string {
+		var byWall, byMono string
+		d.ScanArgs(t, "wall", &byWall)
+		d.ScanArgs(t, "mono", &byMono)
+		wall += duration(t, d, byWall)
+		mono += duration(t, d, byMono)
+		if s == nil {
+			s = start(func() (time.Duration, time.Duration) { return wall, mono })
+		}
+		return strconv.FormatInt(int64(s.Now()), 10)
+	})
+}
+
+func duration(t *testing.T, d *datadriven.TestData, text string) time.Duration {
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		d.Fatalf(t, "%v", err)
+	}
+	return v
+}
+
+// TestNew guards against a clock that does not start at wall time.
+func TestNew(t *testing.T) {
+	before := time.Now().UnixMilli()
+	first := int64(New().Now())
+	if after := time.Now().UnixMilli(); first < before || first > after {
+		t.Errorf("clock starts at %d: want %d to %d", first, before, after)
+	}
+}
