gossip, rpc, transport: datagrams, gRPC and the choice between them

Cause: nodes exchange sealed frames; most fit in a datagram, tables and member lists do not.

Ruled out: sending from gnet's own connections (gnet only answers a datagram while it handles it); a second socket for sending (peers would see another source port); Engine.Stop to wait for the end (it polls every 500 ms).

--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,185 @@
+// Package gossip carries small frames between nodes in UDP datagrams.
+package gossip
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/transport"
+	"github.com/jackdawbridge/jackdawbridge/wire"
+)
+
+// MaxFrame is the size of the largest sealed frame in bytes. With headers it
+// stays below the smallest MTU that IPv6 allows, so no datagram is fragmented.
+const MaxFrame = 1200
+
+// One datagram is read at a time; a longer one is cut off and refused.
+const readBuffer = 2048 // bytes
+
+// Transport sends and receives datagrams on one UDP socket.
+type Transport struct {
+	codec  jackdawbridge.Codec
+	sealer *wire.Sealer
+	sent   metrics.Counter
+	lost   metrics.Counter // datagrams that the kernel did not take
+	engine gnet.Engine
+	conn   *net.UDPConn // duplicate of the engine's socket, for sending
+	raw    rawConn
+	done   chan struct{} // closed when the engine has ended
+	err    error         // of the engine, set before done is closed
+	once   sync.Once
+}
+
+type rawConn interface {
+	Control(f func(fd uintptr)) error
+}
+
+var _ transport.Sender = (*Transport)(nil)
+
+// Listen opens the socket and hands received frames to handle, which must not
+// block. Its counters are gossip.sent, gossip.lost, gossip.received and
+// gossip.refused.REASON.
+func Listen(address netip.AddrPort, codec jackdawbridge.Codec, sealer *wire.Sealer, registry metrics.Registry, log *slog.Logger, handle func(jackdawbridge.Frame)) (*Transport, error) {
+	t := &Transport{
+		codec: codec, sealer: sealer, done: make(chan struct{}),
+		sent: metrics.GetOrRegisterCounter("gossip.sent", registry),
+		lost: metrics.GetOrRegisterCounter("gossip.lost", registry),
+	}
+	network := "udp4://"
+	if address.Addr().Is6() {
+		network = "udp6://"
+	}
+	h := &handler{
+		booted: make(chan gnet.Engine, 1),
+		intake: transport.NewIntake("gossip", codec, sealer, registry, log, handle),
+	}
+	go func() {
+		defer close(t.done)
+		t.err = gnet.Run(h, network+address.String(), gnet.WithNumEventLoop(1),
+			gnet.WithReadBufferCap(readBuffer), gnet.WithLogger(logger{log}))
+	}()
+	select {
+	case <-t.done:
+		return nil, errors.Errorf("listen on %s: %w", address, t.err)
+	case t.engine = <-h.booted:
+	}
+	if err := t.open(); err != nil {
+		return nil, errors.Join(errors.Errorf("listen on %s: %w", address, err), t.Close())
+	}
+	return t, nil
+}
+
+// open duplicates the engine's socket: gnet can only answer a datagram while it
+// handles it, and peers expect datagrams from the listening address.
+func (t *Transport) open() error {
+	fd, err := t.engine.Dup()
+	if err != nil {
+		return errors.Errorf("duplicate socket: %w", err)
+	}
+	file := os.NewFile(uintptr(fd), "gossip")
+	conn, err := net.FilePacketConn(file)
+	if err = errors.Join(err, file.Close()); err != nil {
+		return errors.Errorf("duplicate socket: %w", err)
+	}
+	t.conn = conn.(*net.UDPConn)
+	if t.raw, err = t.conn.SyscallConn(); err != nil {
+		return errors.Errorf("duplicate socket: %w", err)
+	}
+	return nil
+}
+
+// Address returns the address of the socket.
+func (t *Transport) Address() netip.AddrPort {
+	return t.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Send sends a frame in one datagram.
+func (t *Transport) Send(to jackdawbridge.Peer, frame jackdawbridge.Frame) error {
+	sealed, err := transport.Seal(t.codec, t.sealer, frame)
+	if err != nil {
+		return errors.Errorf("gossip: %w", err)
+	}
+	return t.SendSealed(to, sealed)
+}
+
+// SendSealed sends a sealed frame in one datagram. A datagram for which the
+// socket buffer has no room is lost.
+func (t *Transport) SendSealed(to jackdawbridge.Peer, sealed []byte) error {
+	if len(sealed) > MaxFrame {
+		return errors.Errorf("gossip: %d bytes: %w", len(sealed), transport.ErrTooLarge)
+	}
+	var address unix.Sockaddr
+	peer := to.Addresses().Gossip()
+	if peer.Addr().Is4() {
+		address = &unix.SockaddrInet4{Port: int(peer.Port()), Addr: peer.Addr().As4()}
+	} else {
+		address = &unix.SockaddrInet6{Port: int(peer.Port()), Addr: peer.Addr().As16()}
+	}
+	var sendErr error
+	err := t.raw.Control(func(fd uintptr) {
+		sendErr = unix.Sendto(int(fd), sealed, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL, address)
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return errors.Errorf("gossip: %w", transport.ErrClosed)
+	}
+	if err = errors.Join(err, sendErr); err != nil {
+		t.lost.Inc(1)
+		return errors.Errorf("gossip: send to %s: %w", peer, err)
+	}
+	t.sent.Inc(1)
+	return nil
+}
+
+// Close ends the engine and waits for it.
+func (t *Transport) Close() error {
+	var err error
+	t.once.Do(func() {
+		// Stop with a context that has ended only starts the shutdown; it would
+		// poll for the end every 500 ms otherwise.
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = t.engine.Stop(ended)
+		<-t.done
+		err = t.err
+		if t.conn != nil {
+			err = errors.Join(err, t.conn.Close())
+		}
+	})
+	return err
+}
+
+type handler struct {
+	gnet.BuiltinEventEngine
+	booted chan gnet.Engine
+	intake *transport.Intake
+}
+
+// OnBoot passes on the engine.
+func (h *handler) OnBoot(engine gnet.Engine) gnet.Action {
+	h.booted <- engine
+	return gnet.None
+}
+
+// OnTraffic receives one datagram.
+func (h *handler) OnTraffic(c gnet.Conn) gnet.Action {
+	data, err := c.Next(-1)
+	switch {
+	case err != nil:
+		h.intake.Refuse("malformed", err)
+	case len(data) > MaxFrame:
+		h.intake.Refuse("oversize", transport.ErrTooLarge)
+	default:
+		h.intake.Receive(data)
+	}
+	return gnet.None
+}
--- /dev/null
+++ b/rpc/rpc_test.go
@@ -0,0 +1,99 @@
+package rpc
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/clock"
+	"github.com/jackdawbridge/jackdawbridge/transport"
+	"github.com/jackdawbridge/jackdawbridge/wire"
+)
+
+func newTransport(t *testing.T) *Transport {
+	t.Helper()
+	sealer, err := wire.NewSealer(clock.New(), []byte("the secret of the fleet"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), wire.Codec{}, sealer, metrics.NewRegistry(), slog.New(slog.DiscardHandler), func(jackdawbridge.Frame) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func peerAt(address netip.AddrPort) jackdawbridge.Peer {
+	return jackdawbridge.NewPeer(jackdawbridge.NewNode("a1", 1), "dc1", jackdawbridge.NewAddresses(address, address, address))
+}
+
+func (t *Transport) connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not seen: %s", what)
+		}
+	}
+}
+
+// TestIdle guards against connections to peers that stay open unused, and
+// against a peer that cannot be reached again afterwards.
+func TestIdle(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := newTransport(t)
+	defer r.Close() //nolint:errcheck // always nil
+	r.idle = time.Millisecond
+	for n := range int64(2) {
+		if err := r.SendSealed(peerAt(r.Address()), []byte("frame")); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "frame sent", func() bool { return r.sent.Count() == n+1 })
+		eventually(t, "connection closed", func() bool { return r.connections() == 0 })
+	}
+}
+
+// TestBounds guards against a peer that does not answer and takes memory or
+// connections without bound, and against a Close that waits for it.
+func TestBounds(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close() //nolint:errcheck // nothing was written
+	to := silent.Addr().(*net.TCPAddr).AddrPort()
+	r := newTransport(t)
+	err = nil
+	for n := 0; err == nil && n < queueLength+2; n++ { // one is under way
+		err = r.SendSealed(peerAt(to), []byte("frame"))
+	}
+	if !errors.Is(err, transport.ErrBusy) {
+		t.Errorf("full queue: error is %v: want %v", err, transport.ErrBusy)
+	}
+	err = nil
+	for i := 0; err == nil; i++ {
+		err = r.SendSealed(peerAt(netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), to.Port())), make([]byte, 8))
+	}
+	if n := r.connections(); !errors.Is(err, transport.ErrBusy) || n > maxPeers {
+		t.Errorf("%d connections, error %v: want at most %d and %v", n, err, maxPeers, transport.ErrBusy)
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+	if r.connections() != 0 || r.queued < 0 {
+		t.Errorf("%d connections and %d queued bytes after Close", r.connections(), r.queued)
+	}
+}
