--- a/transport/intake.go
+++ b/transport/intake.go
@@ -44,12 +44,12 @@
 func (i *Intake) Receive(sealed []byte) {
 	data, err := i.sealer.Open(sealed)
 	if err != nil {
-		i.Refuse(wire.Refusal(err), err)
+		i.Refuse(wire.Reason(err), err)
 		return
 	}
 	frame, err := i.codec.DecodeFrame(data)
 	if err != nil {
-		i.Refuse(wire.Refusal(err), err)
+		i.Refuse(wire.Reason(err), err)
 		return
 	}
 	i.received.Inc(1)
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -34,11 +34,15 @@
 	return jackdawbridge.NewNode(jackdawbridge.Instance(p.GetInstance()), p.GetIncarnation())
 }
 
-func (d *decoder) address(data []byte) netip.AddrPort {
+// address returns an address, with the known IP address if data has none.
+func (d *decoder) address(data []byte, known netip.Addr) netip.AddrPort {
 	var a netip.AddrPort
 	if err := a.UnmarshalBinary(data); err != nil {
 		d.fail(errors.Errorf("address: %w", err))
 	}
+	if !a.Addr().IsValid() {
+		a = netip.AddrPortFrom(known, a.Port())
+	}
 	return a
 }
 
@@ -47,7 +51,8 @@
 		d.fail(errors.New("peer is missing"))
 		return jackdawbridge.Peer{}
 	}
-	addresses := jackdawbridge.NewAddresses(d.address(p.Gossip), d.address(p.Rpc), d.address(p.Http))
+	gossip := d.address(p.Gossip, netip.Addr{})
+	addresses := jackdawbridge.NewAddresses(gossip, d.address(p.Rpc, gossip.Addr()), d.address(p.Http, gossip.Addr()))
 	return jackdawbridge.NewPeer(d.node(p.Node), jackdawbridge.DataCentre(p.Centre), addresses).
 		WithBackend(jackdawbridge.ServiceName(p.Service), int(p.Slots), int(p.Conns)).
 		WithState(enum[jackdawbridge.PeerState](d, p.State)).WithVersion(p.Version)
@@ -253,8 +258,15 @@
 			enum[jackdawbridge.Outcome](d, p.GetOutcome()), int(p.GetStatus()))
 	case *pb.Frame_Crash:
 		p := m.Crash
-		return jackdawbridge.NewCrash(d.node(p.GetNode()), p.GetSequence(), jackdawbridge.Millis(p.GetAge()),
-			each(p.GetFingerprints(), func(f uint64) jackdawbridge.Fingerprint { return jackdawbridge.Fingerprint(f) }))
+		node := d.node(p.GetNode())
+		fingerprints := each(p.GetFingerprints(), func(f uint64) jackdawbridge.Fingerprint { return jackdawbridge.Fingerprint(f) })
+		if !p.GetCleared() {
+			return jackdawbridge.NewCrash(node, p.GetSequence(), jackdawbridge.Millis(p.GetAge()), fingerprints)
+		}
+		if p.GetAge() != 0 {
+			d.fail(errors.Errorf("cleared crash has age %d: want none", p.GetAge()))
+		}
+		return jackdawbridge.NewCleared(node, p.GetSequence(), fingerprints)
 	}
 	d.fail(errors.New("message is missing or unknown"))
 	return nil
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -11,15 +11,21 @@
 	return &pb.Node{Instance: string(n.Instance()), Incarnation: n.Incarnation()}
 }
 
-func fromAddress(a netip.AddrPort) []byte {
+// fromAddress returns the binary form of an address, without the IP address if
+// it is the given one.
+func fromAddress(a netip.AddrPort, known netip.Addr) []byte {
+	if a.Addr() == known {
+		a = netip.AddrPortFrom(netip.Addr{}, a.Port())
+	}
 	data, _ := a.MarshalBinary() // never fails
 	return data
 }
 
 func fromPeer(p jackdawbridge.Peer) *pb.Peer {
+	a, ip := p.Addresses(), p.Addresses().Gossip().Addr()
 	return &pb.Peer{
 		Node: fromNode(p.Node()), Centre: string(p.DataCentre()),
-		Gossip: fromAddress(p.Addresses().Gossip()), Rpc: fromAddress(p.Addresses().RPC()), Http: fromAddress(p.Addresses().HTTP()),
+		Gossip: fromAddress(a.Gossip(), netip.Addr{}), Rpc: fromAddress(a.RPC(), ip), Http: fromAddress(a.HTTP(), ip),
 		Service: string(p.Service()), Slots: int64(p.Slots()), Conns: int64(p.Conns()),
 		State: uint32(p.State()), Version: p.Version(),
 	}
@@ -155,7 +161,7 @@
 		}}
 	case *jackdawbridge.Crash:
 		f.Message = &pb.Frame_Crash{Crash: &pb.Crash{
-			Node: fromNode(m.Node()), Sequence: m.Sequence(), Age: int64(m.Age()),
+			Node: fromNode(m.Node()), Sequence: m.Sequence(), Age: int64(m.Age()), Cleared: m.Cleared(),
 			Fingerprints: each(m.Fingerprints(), func(f jackdawbridge.Fingerprint) uint64 { return uint64(f) }),
 		}}
 	}
--- a/wire/seal.go
+++ b/wire/seal.go
@@ -122,9 +122,9 @@
 	return to
 }
 
-// Refusal returns a short name of the reason for which data was refused, for
+// Reason returns a short name of the reason for which data was refused, for
 // counters: malformed, signature or expired, and invalid for what a codec refused.
-func Refusal(err error) string {
+func Reason(err error) string {
 	switch {
 	case errors.Is(err, ErrMalformed):
 		return "malformed"
