gossip: claim the UDP address alone

Cause: two nodes could listen on the same UDP address without an error, and the kernel then divided the datagrams between them. gnet forces SO_REUSEPORT on UDP listeners; gnet.WithReusePort(false) has no effect there.

Ruled out: a trial bind before gnet's own, which leaves a longer window between the two binds.

Change: SO_REUSEPORT is cleared on the bound socket, so a later bind fails. Two binds in the same instant can still both succeed.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -86,6 +86,11 @@
 	if err != nil {
 		return errors.Errorf("duplicate socket: %w", err)
 	}
+	// gnet always sets SO_REUSEPORT on UDP sockets, with which a second process
+	// at the same address takes part of the datagrams instead of failing.
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 0); err != nil {
+		return errors.Errorf("claim address: %w", errors.Join(err, unix.Close(fd)))
+	}
 	file := os.NewFile(uintptr(fd), "gossip")
 	conn, err := net.FilePacketConn(file)
 	if err = errors.Join(err, file.Close()); err != nil {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,11 @@
 				_, err = conn.Write(make([]byte, bytes))
 				err = errors.Join(err, conn.Close())
 			}
+		case "listen":
+			if _, err := gossip.Listen(small.Address(), wire.Codec{}, sealer, registry, slog.New(slog.DiscardHandler), handle); !errors.Is(err, syscall.EADDRINUSE) {
+				return fmt.Sprintf("error is %v", err)
+			}
+			return "address in use"
 		case "close":
 			if err := both.Close(); err != nil {
 				return err.Error()
