--- a/wire/codec.go
+++ b/wire/codec.go
@@ -3,6 +3,8 @@
 // defined by the checks of the root package.
 package wire
 
+//go:generate go tool buf generate .. --template ../buf.gen.yaml -o ..
+
 import (
 	"google.golang.org/protobuf/proto"
 
