--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -125,9 +125,14 @@
 	if !p.apply(m) {
 		return
 	}
-	for _, peer := range p.r.members.sample(crashFanout) {
+	for _, peer := range p.r.members.random(crashFanout) {
 		p.r.send(peer, m)
 	}
+	for _, dc := range p.r.once.dataCentres {
+		if peers := p.r.members.inDataCentre(dc); dc != p.r.self.DataCentre() && len(peers) > 0 {
+			p.r.send(peers[p.r.members.draw(len(peers))], m)
+		}
+	}
 }
 
 // apply changes the table by a report and reports whether that was news.
