reducer: settings spread by peers, confirmed and indexed

Cause: the thin version let every node watch the platform and looked keys up by a built name, so calls to the platform grew with the nodes and the call path allocated.

Also ruled out: telling a Load from a Watch by the version in the answer, which is ambiguous once both are out, so StoreLoaded says which one it answers (AsWatch); and splitting large deltas, since part of a revision must not come into force.

Change: two watchers and four deputies by hash of name, Newer in two waves, Pull and Delta with a bound and whole tables beyond it, repair by random comparison, readiness after a start or a freeze, refusal of unconfirmed accounts, refusal of records that are older, foreign, unreadable, missing or without a revision, an index by key hash, account and service, and Digest for operators' commands.

Found by the property test: a record of revision 0 in the platform crashed a node without a table. It is refused now.

--- a/event.go
+++ b/event.go
@@ -259,11 +259,19 @@
 	name   RecordName
 	status StoreStatus
 	record Record // when StoreOK
+	watch  bool   // answers a Watch
 }
 
 // NewStoreLoaded returns the answer to a Load or a Watch.
 func NewStoreLoaded(at Millis, name RecordName, status StoreStatus, record Record) *StoreLoaded {
-	return &StoreLoaded{stamp{at}, name, status, record}
+	return &StoreLoaded{stamp: stamp{at}, name: name, status: status, record: record}
+}
+
+// AsWatch marks e as the answer to a Watch and returns it. A Load and a Watch of
+// one record may be out at the same time.
+func (e *StoreLoaded) AsWatch() *StoreLoaded {
+	e.watch = true
+	return e
 }
 
 // Name returns the name of the record.
@@ -272,6 +280,9 @@
 // Status returns how the call ended.
 func (e *StoreLoaded) Status() StoreStatus { return e.status }
 
+// Watch reports whether e answers a Watch.
+func (e *StoreLoaded) Watch() bool { return e.watch }
+
 // Record returns the record that was read.
 func (e *StoreLoaded) Record() Record { return e.record }
 
--- a/reducer/fleet_test.go
+++ b/reducer/fleet_test.go
@@ -1,7 +1,10 @@
 package reducer
 
 import (
+	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
+	"strings"
 
 	"github.com/jackdawbridge/jackdawbridge"
 )
@@ -145,3 +148,137 @@
 	}
 	return size
 }
+
+// grant publishes keys of an account.
+func (h *harness) grant(key, account string, count int) error {
+	entries := make([]jackdawbridge.Entry, 0, count)
+	for i := range count {
+		name := key
+		if count > 1 {
+			name = fmt.Sprint(key, i)
+		}
+		k, err := jackdawbridge.NewKey(keyHash(name), jackdawbridge.AccountName(account), "")
+		if err != nil {
+			return err
+		}
+		entries = append(entries, jackdawbridge.KeyEntry(k))
+	}
+	h.change(jackdawbridge.KeysTable, entries...)
+	return nil
+}
+
+// damage puts a record of the platform into a state that must not come into
+// force, or repairs it.
+func (h *harness) damage(name jackdawbridge.RecordName, state string) (string, error) {
+	h.store.unreadable = ""
+	current := h.published[name]
+	switch state {
+	case "older":
+		h.store.put(name, h.previous[name], 0)
+	case "foreign":
+		foreign, err := jackdawbridge.NewTable(current.Revision()+1, "foreign", []jackdawbridge.Entry{jackdawbridge.Tombstone("other/x")})
+		if err != nil {
+			return "", err
+		}
+		h.store.put(name, foreign, 0)
+	case "unreadable":
+		h.store.put(name, current, 0)
+		h.store.unreadable = name
+	case "missing":
+		h.store.put(name, nil, 0)
+	case "good":
+		h.store.put(name, current, 0)
+	default:
+		return "", fmt.Errorf("unknown state %q", state)
+	}
+	return "", nil
+}
+
+// lacks returns a live node that has not the newest revisions in force, or "".
+func (h *harness) lacks() string {
+	for _, name := range h.order {
+		n := h.nodes[name]
+		if !n.up() {
+			continue
+		}
+		for _, table := range []jackdawbridge.RecordName{jackdawbridge.ConfigTable, jackdawbridge.KeysTable} {
+			want, got := h.published[table].Revision(), n.reducer.settings.revision(table)
+			if got != want || !n.reducer.settings.ready() {
+				return fmt.Sprintf("%s has %s %d in force, ready: %v, want %d", name, table, got, n.reducer.settings.ready(), want)
+			}
+		}
+	}
+	return ""
+}
+
+// inForce lets time pass until the newest revisions are in force at all live
+// nodes, within a bound.
+func (h *harness) inForce(within jackdawbridge.Millis) string {
+	const pace = 100
+	for range within / pace {
+		h.run(pace)
+		if h.lacks() == "" {
+			return "in force"
+		}
+	}
+	return h.lacks()
+}
+
+// revisions returns the revisions that a node has in force.
+func (h *harness) revisions(name string) string {
+	digest := h.nodes[name].reducer.Digest()
+	return fmt.Sprintf("config %d, keys %d, ready %v", digest.Config(), digest.Keys(), h.nodes[name].reducer.settings.ready())
+}
+
+// keyOf returns the hash in the name of the entry of a key.
+func keyOf(name string) (jackdawbridge.KeyHash, bool) {
+	var hash jackdawbridge.KeyHash
+	rest, ok := strings.CutPrefix(name, keyPrefix)
+	if !ok {
+		return hash, false
+	}
+	n, err := hex.Decode(hash[:], []byte(rest))
+	return hash, err == nil && n == len(hash)
+}
+
+// watchers returns the live members of a data centre that watch the platform.
+func (h *harness) watchers(dc jackdawbridge.DataCentre) []string {
+	var names []string
+	for _, name := range h.order {
+		if n := h.nodes[name]; n.up() && n.peer.DataCentre() == dc && n.reducer.settings.watches() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// oldestConfirmation tells whether every live node has been confirmed within
+// the limit, with a margin.
+func (h *harness) oldestConfirmation() string {
+	oldest := jackdawbridge.Millis(0)
+	for _, n := range h.nodes {
+		if n.up() {
+			oldest = max(oldest, n.reducer.settings.confirmedAge())
+		}
+	}
+	if oldest < unconfirmedLimit/2 {
+		return "below half of the limit"
+	}
+	return fmt.Sprintf("%d ms", oldest)
+}
+
+// lose drops the given share of the frames, in percent, by a fixed sequence.
+func (h *harness) lose(percent int) { h.disorder(percent, 0, 0) }
+
+// disorder drops, repeats and delays the given shares of the frames, in percent,
+// by a fixed sequence. A delay is up to 10 s.
+func (h *harness) disorder(lost, repeated, late int) {
+	random := rand.New(rand.NewPCG(1, uint64(lost)))
+	h.onSend = func(*fakeNode, *fakeNode, jackdawbridge.Frame) linkFault {
+		fault := linkFault{drop: random.IntN(100) < lost, repeat: random.IntN(100) < repeated}
+		if random.IntN(100) < late {
+			fault.delay = jackdawbridge.Millis(random.IntN(10_000))
+		}
+		return fault
+	}
+}
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"crypto/sha256"
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -104,7 +103,10 @@
 	nodes      map[string]*fakeNode
 	order      []string
 	store      *fakeStore
-	cuts       map[[2]string]bool   // one way
+	cuts       map[[2]string]bool                                // one way
+	published  map[jackdawbridge.RecordName]*jackdawbridge.Table // newest
+	previous   map[jackdawbridge.RecordName]*jackdawbridge.Table // before the newest
+	onChange   func(name jackdawbridge.RecordName, revision uint64, entries []jackdawbridge.Entry)
 	disturbed  jackdawbridge.Millis // when a fault last began or ended
 	onSend     func(from, to *fakeNode, frame jackdawbridge.Frame) linkFault
 	afterStep  func(*fakeNode)
@@ -126,7 +128,9 @@
 func newHarness() *harness {
 	h := &harness{
 		now: harnessOrigin, nodes: make(map[string]*fakeNode), cuts: make(map[[2]string]bool),
-		results: make(map[jackdawbridge.RequestID]result),
+		published: make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
+		previous:  make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
+		results:   make(map[jackdawbridge.RequestID]result),
 	}
 	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
 	return h
@@ -477,29 +481,32 @@
 	})
 }
 
-// publish writes the harness's configuration and keys to the platform as a new revision.
+// publish writes the harness's configuration and keys to the platform as new
+// revisions.
 func (h *harness) publish() {
-	for _, t := range []struct {
-		name    jackdawbridge.RecordName
-		entries []jackdawbridge.Entry
-	}{{jackdawbridge.ConfigTable, h.config}, {jackdawbridge.KeysTable, h.keys}} {
-		revision := h.store.records[t.name].Version() + 1
-		entries := make([]jackdawbridge.Entry, 0, len(t.entries))
-		for _, e := range t.entries {
-			entries = append(entries, e.At(revision))
-		}
-		table, err := jackdawbridge.NewTable(revision, fmt.Sprint("change-", revision), entries)
-		if err != nil {
-			panic(err)
-		}
-		h.store.put(t.name, table, 0)
-	}
+	h.change(jackdawbridge.ConfigTable, h.config...)
+	h.change(jackdawbridge.KeysTable, h.keys...)
 }
 
-// lose drops the given share of the frames, in percent, by a fixed sequence.
-func (h *harness) lose(percent int) {
-	random := rand.New(rand.NewPCG(1, uint64(percent)))
-	h.onSend = func(*fakeNode, *fakeNode, jackdawbridge.Frame) linkFault {
-		return linkFault{drop: random.IntN(100) < percent}
+// change writes changed entries of a table to the platform as a new revision.
+func (h *harness) change(name jackdawbridge.RecordName, entries ...jackdawbridge.Entry) {
+	old := h.published[name]
+	if old == nil {
+		old, _ = jackdawbridge.NewTable(0, "", nil)
+	}
+	revision := old.Revision() + 1
+	changed := make([]jackdawbridge.Entry, 0, len(entries))
+	for _, e := range entries {
+		changed = append(changed, e.At(revision))
+	}
+	table, err := old.Merge(revision, fmt.Sprint("change-", revision), changed)
+	if err != nil {
+		panic(err)
+	}
+	h.previous[name] = old
+	h.published[name] = table
+	h.store.put(name, table, 0)
+	if h.onChange != nil {
+		h.onChange(name, revision, entries)
 	}
 }
--- /dev/null
+++ b/reducer/index.go
@@ -0,0 +1,99 @@
+package reducer
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// The prefixes of the names of entries.
+const (
+	keyPrefix     = "key/"
+	accountPrefix = "account/"
+	servicePrefix = "service/"
+)
+
+// index finds what the call path needs of the tables in force without building
+// a name or allocating.
+type index struct {
+	keys     map[jackdawbridge.KeyHash]*jackdawbridge.Key
+	accounts map[jackdawbridge.AccountName]*jackdawbridge.Account
+	services map[jackdawbridge.ServiceName]*jackdawbridge.Service
+	refusing int // accounts that are refused without confirmation
+}
+
+func newIndex() index {
+	return index{
+		keys:     make(map[jackdawbridge.KeyHash]*jackdawbridge.Key),
+		accounts: make(map[jackdawbridge.AccountName]*jackdawbridge.Account),
+		services: make(map[jackdawbridge.ServiceName]*jackdawbridge.Service),
+	}
+}
+
+// rebuild replaces everything that comes from a table.
+func (x *index) rebuild(name jackdawbridge.RecordName, entries []jackdawbridge.Entry) {
+	if name == jackdawbridge.KeysTable {
+		clear(x.keys)
+	} else {
+		clear(x.accounts)
+		clear(x.services)
+		x.refusing = 0
+	}
+	x.update(entries)
+}
+
+// update takes changed entries. A tombstone removes.
+func (x *index) update(entries []jackdawbridge.Entry) {
+	for _, e := range entries {
+		if rest, ok := strings.CutPrefix(e.Name(), keyPrefix); ok {
+			x.updateKey(e, rest)
+		} else if rest, ok := strings.CutPrefix(e.Name(), accountPrefix); ok {
+			x.updateAccount(e, jackdawbridge.AccountName(rest))
+		} else if rest, ok := strings.CutPrefix(e.Name(), servicePrefix); ok {
+			delete(x.services, jackdawbridge.ServiceName(rest))
+			if s := e.Service(); s != nil {
+				x.services[s.Name()] = s
+			}
+		}
+	}
+}
+
+func (x *index) updateKey(e jackdawbridge.Entry, name string) {
+	if k := e.Key(); k != nil {
+		x.keys[k.Hash()] = k
+		return
+	}
+	var hash jackdawbridge.KeyHash
+	if n, err := hex.Decode(hash[:], []byte(name)); err == nil && n == len(hash) {
+		delete(x.keys, hash)
+	}
+}
+
+func (x *index) updateAccount(e jackdawbridge.Entry, name jackdawbridge.AccountName) {
+	if old, ok := x.accounts[name]; ok && !old.ServeUnconfirmed() {
+		x.refusing--
+	}
+	delete(x.accounts, name)
+	if a := e.Account(); a != nil {
+		x.accounts[name] = a
+		if !a.ServeUnconfirmed() {
+			x.refusing++
+		}
+	}
+}
+
+// dataCentres returns the data centres that have a share of an account, sorted.
+func (x *index) dataCentres() []jackdawbridge.DataCentre {
+	var list []jackdawbridge.DataCentre
+	for _, a := range x.accounts {
+		for _, s := range a.Shares() {
+			if !slices.Contains(list, s.DataCentre()) {
+				list = append(list, s.DataCentre())
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/reducer/membership_test.go
+++ b/reducer/membership_test.go
@@ -14,10 +14,13 @@
 )
 
 // TestMembershipCost guards against control traffic of a node that grows with
-// the size of the fleet.
+// the size of the fleet, with the confirmations that an account asks for.
 func TestMembershipCost(t *testing.T) {
 	for _, size := range []int{8, 32, 128} {
 		h := newHarness()
+		if _, err := h.configure("account atlas 100 100 one:1000 refuse\nroute balancedesk /balance high idempotent\nkey k1 atlas"); err != nil {
+			t.Fatal(err)
+		}
 		h.fleet("n", "one", size, "balancedesk", "")
 		if got := h.converge(30 * jackdawbridge.Second); got != "converged" {
 			t.Fatalf("%d nodes: %s", size, got)
--- a/reducer/property_test.go
+++ b/reducer/property_test.go
@@ -23,6 +23,9 @@
 			"lose":    f.lose,
 			"store":   f.store,
 			"refuse":  f.refuse,
+			"change":  f.change,
+			"damage":  f.damage,
+			"stray":   f.stray,
 			"run":     f.run,
 		})
 		f.recover()
@@ -38,7 +41,10 @@
 func newFaults(t *rapid.T) *faults {
 	h := newHarness()
 	f := &faults{h: h, checks: h.check(t.Fatalf)}
-	h.fleet("a", "one", rapid.IntRange(2, 6).Draw(t, "nodes in one"), "balancedesk", "")
+	if _, err := h.configure("account atlas 100 100 one:500,two:500 refuse\nroute balancedesk /balance high idempotent\nkey k0 atlas"); err != nil {
+		t.Fatal(err)
+	}
+	h.fleet("a", "one", rapid.IntRange(2, 10).Draw(t, "nodes in one"), "balancedesk", "")
 	h.fleet("b", "two", rapid.IntRange(2, 4).Draw(t, "nodes in two"), "balancedesk", "")
 	h.run(10 * jackdawbridge.Second)
 	return f
@@ -78,7 +84,8 @@
 func (f *faults) heal(t *rapid.T) { f.h.cutAll(f.group(t), f.group(t), false, true) }
 
 func (f *faults) lose(t *rapid.T) {
-	f.h.lose(rapid.IntRange(0, 20).Draw(t, "percent"))
+	share := rapid.IntRange(0, 20)
+	f.h.disorder(share.Draw(t, "percent lost"), share.Draw(t, "percent repeated"), share.Draw(t, "percent late"))
 	f.h.disturbed = f.h.now
 }
 
@@ -94,6 +101,34 @@
 	}
 }
 
+// change withdraws or grants a key, or publishes the configuration again.
+func (f *faults) change(t *rapid.T) {
+	switch key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key")); rapid.IntRange(0, 2).Draw(t, "change") {
+	case 0:
+		f.h.change(jackdawbridge.KeysTable, jackdawbridge.Tombstone(jackdawbridge.KeyEntryName(keyHash(key))))
+	case 1:
+		if err := f.h.grant(key, "atlas", 1); err != nil {
+			t.Fatal(err)
+		}
+	default:
+		f.h.change(jackdawbridge.ConfigTable, f.h.config...)
+	}
+}
+
+func (f *faults) damage(t *rapid.T) {
+	name := rapid.SampledFrom([]jackdawbridge.RecordName{jackdawbridge.ConfigTable, jackdawbridge.KeysTable}).Draw(t, "table")
+	state := rapid.SampledFrom([]string{"older", "unreadable", "missing", "good"}).Draw(t, "state")
+	if _, err := f.h.damage(name, state); err != nil {
+		t.Fatal(err)
+	}
+	f.h.disturbed = f.h.now
+}
+
+// stray keeps a node from the platform, or lets it reach it again.
+func (f *faults) stray(t *rapid.T) {
+	f.h.store.cutOff([]string{f.node(t).name}, rapid.Bool().Draw(t, "cut"))
+}
+
 func (f *faults) run(t *rapid.T) {
 	f.h.run(jackdawbridge.Millis(rapid.IntRange(1, 20_000).Draw(t, "ms")))
 }
@@ -105,10 +140,19 @@
 	f.h.onSend = nil
 	f.h.store.setDown(false)
 	f.h.store.lose = 0
+	f.h.store.cutOff(f.h.order, false)
+	for name := range f.h.published {
+		if _, err := f.h.damage(name, "good"); err != nil {
+			f.checks.report("%v", err)
+		}
+	}
 	f.h.disturbed = f.h.now
 	f.checks.checkViews(undisturbed)
-	f.h.run(undisturbed)
+	f.h.run(2 * undisturbed)
+	if got := f.h.lacks(); got != "" {
+		f.checks.report("after recovery %s", got)
+	}
 	if got := f.h.disagreement(); got != "" {
-		f.checks.fail("%s: after recovery %s", fmt.Sprint(f.checks), got)
+		f.checks.report("after recovery %s", got)
 	}
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -73,6 +73,26 @@
 		return h.seedHolders(jackdawbridge.DataCentre(arg(d, "dc", "one"))), nil
 	case "cut", "heal":
 		h.cutAll(arg(d, "from", ""), arg(d, "to", ""), d.Cmd == "cut", arg(d, "ways", "2") == "2")
+	case "store-cut":
+		h.store.cutOff(h.matching(arg(d, "from", "")), arg(d, "state", "on") == "on")
+	case "store-record":
+		return h.damage(jackdawbridge.RecordName(arg(d, "name", "keys")), arg(d, "state", ""))
+	case "withdraw":
+		h.change(jackdawbridge.KeysTable, jackdawbridge.Tombstone(jackdawbridge.KeyEntryName(keyHash(arg(d, "key", "")))))
+	case "grant":
+		return "", h.grant(arg(d, "key", ""), arg(d, "account", ""), number(d, "count", 1))
+	case "in-force":
+		return h.inForce(jackdawbridge.Millis(number(d, "within", 0))), nil
+	case "watchers":
+		return strconv.Itoa(len(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))))), nil
+	case "kill-watchers":
+		for _, name := range h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))) {
+			h.kill(name)
+		}
+	case "oldest-confirmation":
+		return h.oldestConfirmation(), nil
+	case "revisions":
+		return h.revisions(arg(d, "node", "")), nil
 	case "store":
 		h.store.setDown(arg(d, "state", "up") == "down")
 		h.store.lose = number(d, "lose", 0)
@@ -118,7 +138,7 @@
 
 // configure publishes accounts, routes and keys, one a line:
 //
-//	account NAME RATE BURST DC:PERMILLE,... [bought]
+//	account NAME RATE BURST DC:PERMILLE,... [bought] [refuse]
 //	route SERVICE PREFIX CRITICALITY [idempotent] [open]
 //	key KEY ACCOUNT
 func (h *harness) configure(input string) (string, error) {
@@ -174,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	h.config = append(h.config, jackdawbridge.AccountEntry(a.WithBought(slices.Contains(f, "bought"))))
+	h.config = append(h.config, jackdawbridge.AccountEntry(a.WithBought(slices.Contains(f, "bought")).WithUnconfirmed(!slices.Contains(f, "refuse"))))
 	return nil
 }
 
@@ -258,12 +278,12 @@
 }
 
 // matches returns the log lines of a part, of one node or of all, that contain a
-// text.
+// text, in which an underscore stands for a space.
 func (h *harness) matches(part, node, text string) []string {
 	var lines []string
 	for _, line := range h.trace {
 		f := strings.Fields(line)
-		if f[2] == part+":" && (node == "" || f[1] == node) && strings.Contains(line, text) {
+		if f[2] == part+":" && (node == "" || f[1] == node) && strings.Contains(line, strings.ReplaceAll(text, "_", " ")) {
 			lines = append(lines, line)
 		}
 	}
--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -195,6 +195,7 @@
 	}
 	other := found && seed.Peer().Node().Instance() != p.r.self.Node().Instance()
 	p.seeds.found = p.seeds.found || other
+	p.seeds.found = p.seeds.found || other
 	if other && !p.alive(seed.Peer().Node()) {
 		p.r.send(seed.Peer(), jackdawbridge.NewMembersRequest())
 	}
--- /dev/null
+++ b/reducer/settings_test.go
@@ -0,0 +1,150 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// configured returns a harness with an account that has many keys.
+func configured(t *testing.T, keys int) *harness {
+	t.Helper()
+	h := newHarness()
+	if _, err := h.configure("account atlas 100 100 one:1000\nroute balancedesk /balance high idempotent"); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.grant("k", "atlas", keys); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// TestPlatformCallsPerChange guards against calls to the platform that grow with
+// the nodes of a data centre. Each watcher is answered and watches again; both
+// tables are read now and then besides.
+func TestPlatformCallsPerChange(t *testing.T) {
+	const changes = 10
+	for _, size := range []int{8, 32} {
+		h := configured(t, 4)
+		h.fleet("n", "one", size, "balancedesk", "")
+		h.run(60 * jackdawbridge.Second)
+		count := func(change bool) (calls, watches int) {
+			calls, watches = h.store.reads+h.store.writes, h.store.watches
+			for range changes {
+				if change {
+					h.change(jackdawbridge.ConfigTable, h.config...)
+				}
+				h.run(12 * jackdawbridge.Second)
+			}
+			return h.store.reads + h.store.writes - calls, h.store.watches - watches
+		}
+		idle, _ := count(false)
+		busy, watches := count(true)
+		if got := h.lacks(); got != "" {
+			t.Fatal(got)
+		}
+		t.Logf("%d nodes: %d calls in 120 s without a change, %d with %d changes, of which %d watches", size, idle, busy, changes, watches)
+		if watches != watchers*changes {
+			t.Errorf("%d nodes: %d watches for %d changes: want %d for each", size, watches, changes, watchers)
+		}
+		// 2 watchers read 2 tables every 15 s, 3 holders renew every 10 s and 3
+		// members may check a record each, at least 7.5 s apart.
+		const background = 2*2*9 + 3*13 + 3*16
+		if idle > background || busy > background+watchers*changes {
+			t.Errorf("%d nodes: %d and %d calls in 120 s: want at most %d and %d", size, idle, busy, background, background+watchers*changes)
+		}
+	}
+}
+
+// TestSpreadOfChange guards against a withdrawal that is in force too late at
+// some node, also while one message in five is lost.
+func TestSpreadOfChange(t *testing.T) {
+	const changes = 8
+	for _, percent := range []int{0, 20} {
+		for _, size := range []int{8, 32, 128} {
+			h := configured(t, 4)
+			h.fleet("n", "one", size, "balancedesk", "")
+			h.run(30 * jackdawbridge.Second)
+			h.lose(percent)
+			worst := jackdawbridge.Millis(0)
+			for range changes {
+				h.run(3 * jackdawbridge.Second)
+				began := h.now
+				h.change(jackdawbridge.KeysTable, jackdawbridge.Tombstone(jackdawbridge.KeyEntryName(keyHash("k1"))))
+				for h.lacks() != "" && h.now-began < 2*forceLimit {
+					h.run(10)
+				}
+				worst = max(worst, h.now-began)
+			}
+			t.Logf("%d nodes, %d%% lost: in force everywhere after at most %d ms", size, percent, worst)
+			if worst > forceLimit {
+				t.Errorf("%d nodes, %d%% lost: in force after %d ms: want at most %d", size, percent, worst, forceLimit)
+			}
+		}
+	}
+}
+
+// TestIdentifyAllocatesNothing guards against allocations on the call path.
+func TestIdentifyAllocatesNothing(t *testing.T) {
+	h := configured(t, 1000)
+	h.fleet("n", "one", 2, "balancedesk", "")
+	h.run(2 * jackdawbridge.Second)
+	settings := &h.nodes["n1"].reducer.settings
+	service, ok := settings.service("balancedesk")
+	if !ok {
+		t.Fatal("service balancedesk is not known")
+	}
+	route := service.Route("GET", "/balance")
+	request := jackdawbridge.NewRequest("r", "balancedesk", "GET", "/balance", 1000)
+	request.WithKey(keyHash("k7"))
+	allocs := testing.AllocsPerRun(100, func() {
+		if account, _, reason := settings.identify(request, route); account != "atlas" {
+			t.Fatalf("identified %q: %s", account, reason)
+		}
+	})
+	if allocs != 0 {
+		t.Errorf("%v allocations for an identified request: want 0", allocs)
+	}
+}
+
+// TestDeltaBounds guards against deltas that grow without bound, and against a
+// delta that leaves out a tombstone that was dropped.
+func TestDeltaBounds(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		keys  int
+		later int // changes of one key after the node's revision
+		whole bool
+	}{
+		{"one change", 1000, 1, false},
+		{"many changed entries", 1, 300, true},
+		{"far behind", 1, 600, true},
+	} {
+		h := configured(t, c.keys)
+		h.fleet("n", "one", 2, "balancedesk", "")
+		h.run(2 * jackdawbridge.Second)
+		since := h.published[jackdawbridge.KeysTable].Revision()
+		for i := range c.later {
+			key := "x"
+			if !c.whole || c.name != "far behind" {
+				key += string(rune('a' + i))
+			}
+			if err := h.grant(key, "atlas", 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		h.run(2 * jackdawbridge.Second)
+		var sent *jackdawbridge.Delta
+		h.onSend = func(_, _ *fakeNode, frame jackdawbridge.Frame) linkFault {
+			if d, ok := frame.Message().(*jackdawbridge.Delta); ok {
+				sent = d
+			}
+			return linkFault{}
+		}
+		pull := jackdawbridge.NewFrame(h.nodes["n0"].reducer.self, jackdawbridge.Digest{}, jackdawbridge.NewPull(jackdawbridge.KeysTable, since))
+		h.nodes["n1"].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewReceived(at, pull) })
+		if sent == nil || (sent.Since() == 0) != c.whole || !c.whole && len(sent.Entries()) != c.later {
+			t.Errorf("%s: got %+v, want the whole table: %v", c.name, sent, c.whole)
+		}
+	}
+}
