wire: services in a request for members

Cause: a request for the members of another data centre names the services that are wanted, and the codec did not carry them; TestCodec failed with "jackdawbridge.Members.services is never set by a script".

The bound moves to the root package as MaxWanted.

Conclusion: go test ./wire ./reducer passes.

--- a/message_member.go
+++ b/message_member.go
@@ -81,11 +81,14 @@
 // Target returns the member to probe.
 func (p *ProbeVia) Target() Peer { return p.target }
 
+// MaxWanted bounds the services that a request for members names.
+const MaxWanted = 32
+
 // Members carries members of a data centre: all of them to a joining node, or
 // a bounded subset for each service to a node of another data centre.
 type Members struct {
 	request  bool          // asks for the receiver's members
-	services []ServiceName // whose members a node of another data centre wants, at most 32
+	services []ServiceName // whose members a node of another data centre wants, at most MaxWanted
 	rumors   []Rumor
 }
 
--- a/reducer/region.go
+++ b/reducer/region.go
@@ -16,8 +16,6 @@
 	// maxContacts bounds the known members of another data centre whose service
 	// nobody calls here. They are needed to reach that data centre at all.
 	maxContacts = 8
-	// maxWanted bounds the services that a node asks for.
-	maxWanted = 32
 	// wantedFor is how long a service that is not called any more is asked for.
 	wantedFor = 10 * 60 * jackdawbridge.Second
 	// refreshInterval is the mean time between two requests for the members of a
@@ -55,7 +53,7 @@
 	r      *Reducer
 	known  map[jackdawbridge.Instance]*member
 	list   []*region                                          // at most maxRegions
-	wanted map[jackdawbridge.ServiceName]jackdawbridge.Millis // when last called, at most maxWanted
+	wanted map[jackdawbridge.ServiceName]jackdawbridge.Millis // when last called, at most MaxWanted
 }
 
 func newRegions(r *Reducer) regions {
@@ -119,7 +117,7 @@
 func (q *regions) upstreams(list []jackdawbridge.Peer, service jackdawbridge.ServiceName) []jackdawbridge.Peer {
 	if _, ok := q.wanted[service]; ok {
 		q.wanted[service] = q.r.now
-	} else if len(q.list) > 0 && len(q.wanted) < maxWanted {
+	} else if len(q.list) > 0 && len(q.wanted) < jackdawbridge.MaxWanted {
 		q.wanted[service] = q.r.now
 		for _, g := range q.list {
 			g.refresh = q.r.now
@@ -243,7 +241,7 @@
 	for _, m := range p.sample(p.live, maxContacts-1, nil) {
 		list = append(list, jackdawbridge.NewRumor(m.peer, jackdawbridge.Alive))
 	}
-	for _, service := range services[:min(len(services), maxWanted)] {
+	for _, service := range services[:min(len(services), jackdawbridge.MaxWanted)] {
 		peers := p.roster.append(nil, service)
 		slices.SortFunc(peers, func(a, b jackdawbridge.Peer) int {
 			return cmp.Compare(distance(to, a), distance(to, b))
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -185,6 +185,24 @@
 	return nil
 }
 
+func (d *decoder) members(m *pb.Members) jackdawbridge.Message {
+	rumors := each(m.GetRumors(), d.rumor)
+	services := each(m.GetServices(), func(s string) jackdawbridge.ServiceName { return jackdawbridge.ServiceName(s) })
+	if m.GetRequest() {
+		if len(rumors) > 0 {
+			d.fail(errors.New("request for members carries rumors"))
+		}
+		if len(services) > jackdawbridge.MaxWanted {
+			d.fail(errors.Errorf("request for members names %d services: want at most %d", len(services), jackdawbridge.MaxWanted))
+		}
+		return jackdawbridge.NewMembersOf(services)
+	}
+	if len(services) > 0 {
+		d.fail(errors.New("list of members names services"))
+	}
+	return jackdawbridge.NewMembers(rumors)
+}
+
 func (d *decoder) message(f *pb.Frame) jackdawbridge.Message {
 	switch m := f.Message.(type) {
 	case *pb.Frame_Probe:
@@ -194,14 +212,7 @@
 	case *pb.Frame_Via:
 		return jackdawbridge.NewProbeVia(m.Via.GetSequence(), d.peer(m.Via.GetTarget()))
 	case *pb.Frame_Members:
-		rumors := each(m.Members.GetRumors(), d.rumor)
-		if m.Members.GetRequest() {
-			if len(rumors) > 0 {
-				d.fail(errors.New("request for members carries rumors"))
-			}
-			return jackdawbridge.NewMembersRequest()
-		}
-		return jackdawbridge.NewMembers(rumors)
+		return d.members(m.Members)
 	case *pb.Frame_Leave:
 		return jackdawbridge.NewLeave()
 	case *pb.Frame_Newer:
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -110,7 +110,10 @@
 	case *jackdawbridge.ProbeVia:
 		f.Message = &pb.Frame_Via{Via: &pb.Via{Sequence: m.Sequence(), Target: fromPeer(m.Target())}}
 	case *jackdawbridge.Members:
-		f.Message = &pb.Frame_Members{Members: &pb.Members{Request: m.Request(), Rumors: each(m.Rumors(), fromRumor)}}
+		f.Message = &pb.Frame_Members{Members: &pb.Members{
+			Request: m.Request(), Rumors: each(m.Rumors(), fromRumor),
+			Services: each(m.Services(), func(s jackdawbridge.ServiceName) string { return string(s) }),
+		}}
 	case *jackdawbridge.Leave:
 		f.Message = &pb.Frame_Leave{Leave: &pb.Empty{}}
 	case *jackdawbridge.Newer:
