reducer: probe members in an order of each node's own

Cause: nodes that learned of the members in the same order probed them in that order in their first round, all of them the same one each second.

Ruled out: a shuffle at the start of the first round only; members that join later would still stand at the end in the same order everywhere.

Change: a new member is put at a random place. Tests for the time until silence is found, for announcements with 20% of the messages lost, and for an older process in the slot of a newer one.

--- a/reducer/membership.go
+++ b/reducer/membership.go
@@ -55,6 +55,13 @@
 	*l = append(*l, m)
 }
 
+// swap exchanges two members.
+func (l memberList) swap(i, j int) {
+	l[i], l[j] = l[j], l[i]
+	l[i].position = i
+	l[j].position = j
+}
+
 func (l *memberList) remove(m *member) {
 	last := len(*l) - 1
 	(*l)[last].position = m.position
@@ -301,6 +308,9 @@
 	p.rumors.add(peer.Node().Instance(), urgent)
 	if m.live() {
 		p.live.add(m)
+		// Nodes that learned of the members in the same order would probe the same
+		// one at a time otherwise.
+		p.live.swap(m.position, p.draw(len(p.live)))
 		p.suspect(m)
 		if was == jackdawbridge.Dead {
 			m.heard = p.r.now
--- a/reducer/membership_test.go
+++ b/reducer/membership_test.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/jackdawbridge/jackdawbridge"
@@ -62,21 +61,58 @@
 // TestSpreadOfAnnouncement guards against a draining backend server that other
 // nodes learn of too late.
 func TestSpreadOfAnnouncement(t *testing.T) {
+	for _, percent := range []int{0, 20} {
+		for _, size := range []int{8, 32, 128} {
+			h := newHarness()
+			h.fleet("n", "one", size, "balancedesk", "")
+			h.run(30 * jackdawbridge.Second)
+			h.lose(percent)
+			h.announce("n3", "balancedesk", 4, true)
+			began := h.now
+			got := h.converge(2 * jackdawbridge.Second)
+			t.Logf("%d nodes, %d%% lost: %s %d ms after the announcement", size, percent, got, h.now-began)
+			if got != "converged" {
+				t.Errorf("%d nodes, %d%% lost: %s", size, percent, got)
+			}
+		}
+	}
+}
+
+// TestDetectionOfSilence guards against a crash without proof that is found too
+// late. The bound is 3 s until some node probes the member, 1 s for the probe,
+// the time to refute, and 2 s for the news.
+func TestDetectionOfSilence(t *testing.T) {
 	for _, size := range []int{8, 32, 128} {
 		h := newHarness()
 		h.fleet("n", "one", size, "balancedesk", "")
-		h.converge(30 * jackdawbridge.Second)
 		h.run(30 * jackdawbridge.Second)
-		h.announce("n3", "balancedesk", 4, true)
+		bound := h.nodes["n0"].reducer.members.patience() + 6*jackdawbridge.Second
+		h.kill("n3")
 		began := h.now
-		got := h.converge(2 * jackdawbridge.Second)
-		t.Logf("%d nodes: %s %d ms after the announcement", size, got, h.now-began)
+		got := h.converge(bound)
+		t.Logf("%d nodes: %s %d ms after the crash, want at most %d", size, got, h.now-began, bound)
 		if got != "converged" {
-			t.Error(fmt.Sprint(size, " nodes: ", got))
+			t.Errorf("%d nodes: %s", size, got)
 		}
 	}
 }
 
+// TestOlderProcessStops guards against two processes in one slot that both go
+// on to act.
+func TestOlderProcessStops(t *testing.T) {
+	h := newHarness()
+	h.fleet("n", "one", 3, "balancedesk", "")
+	h.run(5 * jackdawbridge.Second)
+	n := h.nodes["n1"]
+	newer := jackdawbridge.NewPeer(jackdawbridge.NewNode("n1", uint64(h.now)+1), "one", n.peer.Addresses())
+	frame := jackdawbridge.NewFrame(newer, jackdawbridge.Digest{}, jackdawbridge.NewProbe(1, nil))
+	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewReceived(at, frame) })
+	h.run(10 * jackdawbridge.Second)
+	if !n.exited {
+		t.Errorf("the older process is %s, want it to have ended", n.reducer.self.State())
+	}
+}
+
 // TestLookups guards against other parts being handed members that are gone, or
 // an outdated set of upstreams.
 func TestLookups(t *testing.T) {
--- a/reducer/probe.go
+++ b/reducer/probe.go
@@ -325,10 +325,7 @@
 	if b.next >= len(p.live) {
 		b.next = 0
 		for i := len(p.live) - 1; i > 0; i-- {
-			j := p.draw(i + 1)
-			p.live[i], p.live[j] = p.live[j], p.live[i]
-			p.live[i].position = i
-			p.live[j].position = j
+			p.live.swap(i, p.draw(i+1))
 		}
 	}
 	m := p.live[b.next]
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -85,6 +85,8 @@
 		return h.inForce(jackdawbridge.Millis(number(d, "within", 0))), nil
 	case "watchers":
 		return strconv.Itoa(len(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))))), nil
+	case "cut-watchers":
+		h.store.cutOff(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))), true)
 	case "kill-watchers":
 		for _, name := range h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))) {
 			h.kill(name)
