node, questionnaire: runtime around the reducer, operators' file

The reducer had no process around it. node owns the listeners for callers, peers, the own backend server and the operators, turns requests into events and executes effects. questionnaire reads and checks the operators' file.

Ruled out: a goroutine for each attempt (the goroutine of the request does it), and GetBody on forwarded requests (net/http may then send twice).

The root package gains Status and Inspector, the reducer a read-only Status, so that operators can ask which revisions are in force.

--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// statusPath is where the listener for peers tells the revisions in force.
+const statusPath = "/jackdaw/status"
+
+// revisions is what a node tells of the settings that it has in force.
+type revisions struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Config     uint64 `json:"config"`
+	Keys       uint64 `json:"keys"`
+}
+
+// summary is the status page.
+type summary struct {
+	revisions
+	Incarnation uint64 `json:"incarnation"`
+	Service     string `json:"service"`
+	State       string `json:"state"`
+	Slots       int    `json:"slots"`
+	Epoch       uint64 `json:"epoch"`
+	Confirmed   int64  `json:"confirmed_ms_ago"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	Calls       int    `json:"calls"`
+	Runs        int    `json:"runs"`
+	Members     int    `json:"members"`
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", n.serveStatus)
+	mux.HandleFunc("GET "+statusPath, n.servePublicStatus)
+	mux.HandleFunc("GET /metrics", n.serveMetrics)
+	mux.HandleFunc("GET /ready", n.serveReady)
+	return mux
+}
+
+func revisionsOf(s jackdawbridge.Status) revisions {
+	self, digest := s.Self(), s.Digest()
+	return revisions{
+		Instance: string(self.Node().Instance()), DataCentre: string(self.DataCentre()),
+		Config: digest.Config(), Keys: digest.Keys(),
+	}
+}
+
+// servePublicStatus tells peers and operators which revisions are in force.
+func (n *Node) servePublicStatus(w http.ResponseWriter, _ *http.Request) {
+	n.writeJSON(w, revisionsOf(n.Status()))
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	s := n.Status()
+	self := s.Self()
+	n.writeJSON(w, summary{
+		revisions: revisionsOf(s), Incarnation: self.Node().Incarnation(),
+		Service: string(self.Service()), State: self.State().String(), Slots: self.Slots(),
+		Epoch: s.Digest().Epoch(), Confirmed: int64(s.Digest().Confirmed()),
+		Ready: s.Ready(), Stopping: s.Stopping(),
+		Calls: s.Calls(), Runs: s.Runs(), Members: s.Members(),
+	})
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !n.Status().Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	s := n.Status()
+	n.metrics.set("calls_in_progress", int64(s.Calls()))
+	n.metrics.set("runs_in_progress", int64(s.Runs()))
+	n.metrics.set("members", int64(s.Members()))
+	n.metrics.set("revision_config", int64(s.Digest().Config()))
+	n.metrics.set("revision_keys", int64(s.Digest().Keys()))
+	n.metrics.set("log_lines_dropped", n.log.dropped.Load())
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	n.metrics.write(w)
+}
+
+func (n *Node) writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		n.log.warn("node: status not written", "error", err)
+	}
+}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// logBuffer is the number of lines that wait for a slow output. Effects are
+// executed under the node's mutex, so a line that finds no room is dropped and
+// counted.
+const logBuffer = 4096
+
+// logWriter writes log lines in the background.
+type logWriter struct {
+	handler slog.Handler
+	lines   chan slog.Record
+	dropped atomic.Int64
+	done    chan struct{}
+
+	mu     sync.RWMutex
+	closed bool
+}
+
+func newLogWriter(logger *slog.Logger) *logWriter {
+	l := &logWriter{handler: logger.Handler(), lines: make(chan slog.Record, logBuffer), done: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+func (l *logWriter) run() {
+	defer close(l.done)
+	for line := range l.lines {
+		_ = l.handler.Handle(context.Background(), line)
+	}
+}
+
+// close writes what is left and ends the writer.
+func (l *logWriter) close() {
+	l.mu.Lock()
+	closed := l.closed
+	l.closed = true
+	l.mu.Unlock()
+	if !closed {
+		close(l.lines)
+	}
+	<-l.done
+}
+
+func (l *logWriter) info(text string, args ...any) { l.write(slog.LevelInfo, text, args...) }
+func (l *logWriter) warn(text string, args ...any) { l.write(slog.LevelWarn, text, args...) }
+
+func (l *logWriter) write(level slog.Level, text string, args ...any) {
+	if !l.handler.Enabled(context.Background(), level) {
+		return
+	}
+	line := slog.NewRecord(time.Now(), level, text, 0)
+	line.Add(args...)
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
+		return
+	}
+	select {
+	case l.lines <- line:
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// effect writes the line of a decision with its part as prefix.
+func (l *logWriter) effect(e *jackdawbridge.Log) {
+	level := slog.LevelInfo
+	if e.Warn() {
+		level = slog.LevelWarn
+	}
+	args := make([]any, 0, 8)
+	if e.Request() != "" {
+		args = append(args, "request", string(e.Request()))
+	}
+	if !e.Node().IsZero() {
+		args = append(args, "node", e.Node().String())
+	}
+	if e.Detail() != "" {
+		args = append(args, "name", e.Detail())
+	}
+	if e.Count() != 0 {
+		args = append(args, "count", e.Count())
+	}
+	l.write(level, e.Part().String()+": "+e.Text(), args...)
+}
--- /dev/null
+++ b/questionnaire/field.go
@@ -0,0 +1,228 @@
+package questionnaire
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// field is a value in the file with its path.
+type field struct {
+	node ast.Node
+	path string
+	line int // of the key, when the value is absent
+}
+
+func (f field) at() int {
+	if f.node == nil {
+		return max(f.line, 1)
+	}
+	return f.node.GetToken().Position.Line
+}
+
+func (f field) child(name string) string {
+	if f.path == "" {
+		return name
+	}
+	return f.path + "." + name
+}
+
+// reader turns fields into values and collects the faults.
+type reader struct{ faults Faults }
+
+func (r *reader) fault(f field, accepted, format string, args ...any) {
+	r.faults = append(r.faults, Fault{line: f.at(), field: f.path, reason: fmt.Sprintf(format, args...), accepted: accepted})
+}
+
+// syntaxFault returns the fault of a file that is not YAML.
+func syntaxFault(err error) Fault {
+	f := Fault{line: 1, reason: err.Error(), accepted: "YAML"}
+	if e, ok := err.(yaml.Error); ok { //nolint:errorlint // the parser returns it unwrapped
+		f.reason = e.GetMessage()
+		if t := e.GetToken(); t != nil && t.Position != nil {
+			f.line = t.Position.Line
+		}
+	}
+	return f
+}
+
+// mapping is the fields of a mapping by name.
+type mapping struct {
+	of     field
+	fields map[string]field
+	broken bool // is no mapping, which is a fault already
+}
+
+// mapping reads a mapping that may have the given fields and no other.
+func (r *reader) mapping(f field, names ...string) mapping {
+	m := mapping{of: f, fields: make(map[string]field)}
+	accepted := strings.Join(names, ", ")
+	values, ok := mappingValues(f.node)
+	if !ok {
+		r.fault(f, "a mapping with "+accepted, "is %s", describe(f.node))
+		m.broken = true
+		return m
+	}
+	for _, v := range values {
+		name := v.Key.GetToken().Value
+		child := field{node: v.Value, path: f.child(name), line: v.Key.GetToken().Position.Line}
+		if len(names) > 0 && !slices.Contains(names, name) {
+			r.fault(child, accepted, "unknown field")
+			continue
+		}
+		m.fields[name] = child
+	}
+	return m
+}
+
+func mappingValues(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+// need returns a field that must be there.
+func (r *reader) need(m mapping, name, accepted string) (field, bool) {
+	f, ok := m.fields[name]
+	if !ok && !m.broken {
+		r.fault(field{path: m.of.child(name), line: m.of.at()}, accepted, "is missing")
+	}
+	return f, ok
+}
+
+// list returns the items of a sequence that must not be empty.
+func (r *reader) list(m mapping, name, accepted string) []field {
+	f, ok := r.need(m, name, accepted)
+	if !ok {
+		return nil
+	}
+	s, ok := f.node.(*ast.SequenceNode)
+	if !ok || len(s.Values) == 0 {
+		r.fault(f, "a list of "+accepted, "is %s", describe(f.node))
+		return nil
+	}
+	items := make([]field, len(s.Values))
+	for i, v := range s.Values {
+		items[i] = field{node: v, path: fmt.Sprintf("%s[%d]", f.path, i)}
+	}
+	return items
+}
+
+const acceptedName = "a name of up to 64 lower-case letters, digits and hyphens"
+
+// name reads a name that is safe in paths, logs and record names.
+func (r *reader) name(f field) string {
+	text, ok := scalarText(f.node)
+	unsafe := strings.ContainsFunc(text, func(c rune) bool {
+		return (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-'
+	})
+	if !ok || text == "" || len(text) > 64 || unsafe {
+		r.fault(f, acceptedName, "is %s", describe(f.node))
+		return ""
+	}
+	return text
+}
+
+func (r *reader) needName(m mapping) string {
+	f, ok := r.need(m, "name", acceptedName)
+	if !ok {
+		return ""
+	}
+	return r.name(f)
+}
+
+// choice reads one of a few words, the first one if the field is absent.
+func (r *reader) choice(m mapping, name string, words ...string) string {
+	f, ok := m.fields[name]
+	if !ok {
+		return words[0]
+	}
+	text, ok := scalarText(f.node)
+	if !ok || !slices.Contains(words, text) {
+		r.fault(f, strings.Join(words, " or "), "is %s", describe(f.node))
+		return words[0]
+	}
+	return text
+}
+
+// flag reads true or false, false if the field is absent.
+func (r *reader) flag(m mapping, name string) bool {
+	f, ok := m.fields[name]
+	if !ok {
+		return false
+	}
+	b, ok := f.node.(*ast.BoolNode)
+	if !ok {
+		r.fault(f, "true or false", "is %s", describe(f.node))
+		return false
+	}
+	return b.Value
+}
+
+// number reads a whole number within bounds.
+func (r *reader) number(f field, low, high int64) int64 {
+	value, ok := integer(f.node)
+	if !ok || value < low || value > high {
+		r.fault(f, fmt.Sprintf("a whole number from %d to %d", low, high), "is %s", describe(f.node))
+		return low
+	}
+	return value
+}
+
+func (r *reader) needNumber(m mapping, name string, low, high int64) int64 {
+	f, ok := r.need(m, name, fmt.Sprintf("a whole number from %d to %d", low, high))
+	if !ok {
+		return low
+	}
+	return r.number(f, low, high)
+}
+
+func integer(node ast.Node) (int64, bool) {
+	n, ok := node.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch v := n.Value.(type) {
+	case int64:
+		return v, true
+	case uint64:
+		return int64(v), v <= math.MaxInt64
+	}
+	return 0, false
+}
+
+func scalarText(node ast.Node) (string, bool) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.IntegerNode:
+		return n.GetToken().Value, true
+	}
+	return "", false
+}
+
+// describe returns what a value is, for a fault.
+func describe(node ast.Node) string {
+	switch n := node.(type) {
+	case nil, *ast.NullNode:
+		return "empty"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		if len(n.Values) == 0 {
+			return "an empty list"
+		}
+		return "a list"
+	case *ast.AnchorNode, *ast.AliasNode:
+		return "an anchor or an alias"
+	}
+	return fmt.Sprintf("%q", node.GetToken().Value)
+}
--- /dev/null
+++ b/questionnaire/read.go
@@ -0,0 +1,244 @@
+package questionnaire
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+const (
+	// maxRate bounds the rate and the burst of a client account, in requests.
+	// It is above what the whole fleet serves.
+	maxRate = 10_000_000
+	// maxSize bounds the upstreams, slots and connections of a service.
+	maxSize = 100_000
+	// maxDistance bounds the distance of a caller in milliseconds.
+	maxDistance = 1000
+	// wholeShare is the sum of the shares of a client account in permille.
+	wholeShare = 1000
+)
+
+func (r *reader) questionnaire(f field) *Questionnaire {
+	m := r.mapping(f, "deployment", "region", "data_centres", "callers", "services", "accounts")
+	q := &Questionnaire{}
+	if d, ok := r.need(m, "deployment", acceptedName); ok {
+		q.deployment = r.name(d)
+	}
+	if d, ok := r.need(m, "region", acceptedName); ok {
+		q.region = r.name(d)
+	}
+	for _, item := range r.list(m, "data_centres", "names of data centres") {
+		dc := jackdawbridge.DataCentre(r.name(item))
+		if slices.Contains(q.dataCentres, dc) {
+			r.fault(item, "each name once", "%q comes twice", dc)
+			continue
+		}
+		q.dataCentres = append(q.dataCentres, dc)
+	}
+	for _, item := range r.list(m, "callers", "callers") {
+		q.callers = append(q.callers, r.caller(item, q))
+	}
+	for _, item := range r.list(m, "services", "services") {
+		r.service(item, q)
+	}
+	for _, item := range r.list(m, "accounts", "client accounts") {
+		r.account(item, q)
+	}
+	return q
+}
+
+func (r *reader) caller(f field, q *Questionnaire) Caller {
+	m := r.mapping(f, "name", "data_centres", "distance_ms")
+	c := Caller{name: r.needName(m)}
+	for _, item := range r.list(m, "data_centres", "names of data centres") {
+		c.dataCentres = append(c.dataCentres, r.dataCentre(item, q))
+	}
+	c.distance = jackdawbridge.Millis(r.needNumber(m, "distance_ms", 0, maxDistance))
+	return c
+}
+
+// dataCentre reads the name of a data centre that the file lists.
+func (r *reader) dataCentre(f field, q *Questionnaire) jackdawbridge.DataCentre {
+	name, ok := scalarText(f.node)
+	if !ok || !slices.Contains(q.dataCentres, jackdawbridge.DataCentre(name)) {
+		r.fault(f, "one of data_centres", "is %s", describe(f.node))
+	}
+	return jackdawbridge.DataCentre(name)
+}
+
+func (r *reader) service(f field, q *Questionnaire) {
+	m := r.mapping(f, "name", "upstreams", "slots", "conns", "routes")
+	name := jackdawbridge.ServiceName(r.needName(m))
+	for _, s := range q.services {
+		if s.Name() == name {
+			r.fault(m.fields["name"], "a name that no other service has", "%q comes twice", name)
+		}
+	}
+	size := Size{service: name, upstreams: int(r.needNumber(m, "upstreams", 1, maxSize))}
+	size.slots = int(r.needNumber(m, "slots", 1, maxSize))
+	size.conns = int(r.needNumber(m, "conns", int64(size.slots), maxSize))
+	var routes []*jackdawbridge.Route
+	for _, item := range r.list(m, "routes", "routes") {
+		if route := r.route(item, routes); route != nil {
+			routes = append(routes, route)
+		}
+	}
+	if name == "" || len(routes) == 0 {
+		return
+	}
+	s, err := jackdawbridge.NewService(name, routes)
+	if err != nil {
+		r.fault(f, "", "%v", err)
+		return
+	}
+	q.sizes = append(q.sizes, size)
+	q.services = append(q.services, s)
+}
+
+const acceptedPrefix = "a path that starts with a slash, without dot segments"
+
+func (r *reader) route(f field, others []*jackdawbridge.Route) *jackdawbridge.Route {
+	m := r.mapping(f, "prefix", "methods", "criticality", "idempotent", "open")
+	prefix, ok := r.need(m, "prefix", acceptedPrefix)
+	if !ok {
+		return nil
+	}
+	path, ok := scalarText(prefix.node)
+	if !ok || !strings.HasPrefix(path, "/") || strings.Contains(path, "/.") || strings.ContainsAny(path, " ?#\\") {
+		r.fault(prefix, acceptedPrefix, "is %s", describe(prefix.node))
+		return nil
+	}
+	methods := r.methods(m)
+	for _, o := range others {
+		if o.Prefix() == path && overlap(o.Methods(), methods) {
+			r.fault(prefix, "one route for each prefix and method", "%q comes twice", path)
+		}
+	}
+	accepted := []string{"sheddable", "normal", "high", "critical"}
+	if _, ok := r.need(m, "criticality", strings.Join(accepted, " or ")); !ok {
+		return nil
+	}
+	if _, ok := r.need(m, "idempotent", "true or false"); !ok {
+		return nil
+	}
+	criticality, err := jackdawbridge.ParseCriticality(r.choice(m, "criticality", accepted...))
+	if err != nil {
+		r.fault(m.fields["criticality"], "", "%v", err)
+		return nil
+	}
+	route, err := jackdawbridge.NewRoute(path, methods, criticality, r.flag(m, "idempotent"), r.flag(m, "open"))
+	if err != nil {
+		r.fault(f, "", "%v", err)
+		return nil
+	}
+	return route
+}
+
+// methods reads the methods of a route, none for all.
+func (r *reader) methods(m mapping) []string {
+	if _, ok := m.fields["methods"]; !ok {
+		return nil
+	}
+	accepted := []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+	var methods []string
+	for _, item := range r.list(m, "methods", strings.Join(accepted, ", ")) {
+		method, _ := scalarText(item.node)
+		if !slices.Contains(accepted, method) {
+			r.fault(item, strings.Join(accepted, ", "), "is %s", describe(item.node))
+			continue
+		}
+		methods = append(methods, method)
+	}
+	return methods
+}
+
+func overlap(a, b []string) bool {
+	return len(a) == 0 || len(b) == 0 || slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
+
+func (r *reader) account(f field, q *Questionnaire) {
+	m := r.mapping(f, "name", "rate", "burst", "bought", "unconfirmed", "shares")
+	name := jackdawbridge.AccountName(r.needName(m))
+	for _, a := range q.accounts {
+		if a.Name() == name {
+			r.fault(m.fields["name"], "a name that no other client account has", "%q comes twice", name)
+		}
+	}
+	rate := r.needNumber(m, "rate", 1, maxRate)
+	burst := r.needNumber(m, "burst", 1, maxRate)
+	bought := r.flag(m, "bought")
+	serve := r.choice(m, "unconfirmed", "serve", "refuse") == "serve"
+	shares := r.shares(m, q)
+	if name == "" || shares == nil {
+		return
+	}
+	a, err := jackdawbridge.NewAccount(name, rate, burst, shares)
+	if err != nil {
+		r.fault(f, "", "%v", err)
+		return
+	}
+	q.accounts = append(q.accounts, a.WithBought(bought).WithUnconfirmed(serve))
+}
+
+// shares reads the base shares of a client account, equal ones if there are none.
+func (r *reader) shares(m mapping, q *Questionnaire) []jackdawbridge.Share {
+	f, ok := m.fields["shares"]
+	if !ok {
+		return r.equalShares(f, q)
+	}
+	values, ok := mappingValues(f.node)
+	accepted := fmt.Sprintf("permille for each data centre, %d in sum", wholeShare)
+	if !ok {
+		r.fault(f, accepted, "is %s", describe(f.node))
+		return nil
+	}
+	var shares []jackdawbridge.Share
+	sum := int64(0)
+	for _, v := range values {
+		shares, sum = r.share(f, v, q, shares, sum)
+	}
+	if sum != wholeShare {
+		r.fault(f, accepted, "sum is %d", sum)
+		return nil
+	}
+	return shares
+}
+
+func (r *reader) share(f field, v *ast.MappingValueNode, q *Questionnaire, shares []jackdawbridge.Share, sum int64) ([]jackdawbridge.Share, int64) {
+	name := v.Key.GetToken().Value
+	item := field{node: v.Value, path: f.child(name), line: v.Key.GetToken().Position.Line}
+	if !slices.Contains(q.dataCentres, jackdawbridge.DataCentre(name)) {
+		r.fault(item, "one of data_centres", "unknown data centre")
+		return shares, sum
+	}
+	permille := r.number(item, 1, wholeShare)
+	share, err := jackdawbridge.NewShare(jackdawbridge.DataCentre(name), int(permille))
+	if err != nil {
+		r.fault(item, "", "%v", err)
+		return shares, sum
+	}
+	return append(shares, share), sum + permille
+}
+
+// equalShares splits a client account over the data centres. The first ones
+// get what does not divide.
+func (r *reader) equalShares(f field, q *Questionnaire) []jackdawbridge.Share {
+	var shares []jackdawbridge.Share
+	count := len(q.dataCentres)
+	for i, dc := range q.dataCentres {
+		permille := wholeShare / count
+		if i < wholeShare%count {
+			permille++
+		}
+		share, err := jackdawbridge.NewShare(dc, permille)
+		if err != nil {
+			r.fault(f, "", "%v", err)
+			return nil
+		}
+		shares = append(shares, share)
+	}
+	return shares
+}
--- /dev/null
+++ b/reducer/status.go
@@ -0,0 +1,12 @@
+package reducer
+
+import "github.com/jackdawbridge/jackdawbridge"
+
+var _ jackdawbridge.Inspector = (*Reducer)(nil)
+
+// Status returns a summary of the state.
+func (r *Reducer) Status() jackdawbridge.Status {
+	ready := r.settings.ready() && !r.drain.stopping
+	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
+		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known))
+}
