--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,7 +20,7 @@
 // metrics counts what happens at a node.
 type metrics struct{ registry gometrics.Registry }
 
-func newMetrics() *metrics { return &metrics{registry: gometrics.NewRegistry()} }
+func newMetrics(registry gometrics.Registry) *metrics { return &metrics{registry: registry} }
 
 // count adds one to a counter.
 func (m *metrics) count(name string) {
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jackdawbridge/jackdawbridge"
+	gometrics "github.com/rcrowley/go-metrics"
 )
 
 // Sealer authenticates envelopes with the secrets of the fleet.
@@ -30,14 +31,15 @@
 	sealer  Sealer
 	clock   jackdawbridge.Clock
 	logger  *slog.Logger
+	metrics gometrics.Registry
 }
 
 // NewParts returns the parts of a node.
 func NewParts(
 	reducer jackdawbridge.Inspector, store jackdawbridge.Store, codec jackdawbridge.Codec,
-	sealer Sealer, clock jackdawbridge.Clock, logger *slog.Logger,
+	sealer Sealer, clock jackdawbridge.Clock, logger *slog.Logger, metrics gometrics.Registry,
 ) Parts {
-	return Parts{reducer: reducer, store: store, codec: codec, sealer: sealer, clock: clock, logger: logger}
+	return Parts{reducer: reducer, store: store, codec: codec, sealer: sealer, clock: clock, logger: logger, metrics: metrics}
 }
 
 // Node runs a reducer. Events are applied one at a time under a mutex, and
@@ -69,13 +71,13 @@
 // New returns a node that has not started.
 func New(parts Parts, limits Limits, addresses Addresses) (*Node, error) {
 	if parts.reducer == nil || parts.store == nil || parts.codec == nil ||
-		parts.sealer == nil || parts.clock == nil || parts.logger == nil {
+		parts.sealer == nil || parts.clock == nil || parts.logger == nil || parts.metrics == nil {
 		return nil, errors.New("node lacks a part")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		parts: parts, limits: limits, addresses: addresses,
-		metrics:   newMetrics(),
+		metrics:   newMetrics(parts.metrics),
 		log:       newLogWriter(parts.logger),
 		upstreams: newUpstreamTransport(),
 		ctx:       ctx, cancel: cancel,
--- /dev/null
+++ b/node/script_test.go
@@ -0,0 +1,296 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackdawbridge/jackdawbridge"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// TestScripts runs each file of testdata/rules. The comments of a file name
+// the failures that it guards against.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/rules", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "target":
+				return eachLine(d.Input, showTarget)
+			case "passed":
+				return showPassed(t, d.Input)
+			case "call":
+				return showCall(t, d.Input)
+			case "report":
+				return showReport(t, d.Input)
+			case "resend":
+				return eachLine(d.Input, func(line string) string { return showResend(t, line, d.HasArg("unwritten")) })
+			case "break":
+				return eachLine(d.Input, func(line string) string { return showBreak(t, line) })
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func eachLine(input string, show func(string) string) string {
+	var b strings.Builder
+	for line := range strings.Lines(input) {
+		line = strings.TrimSpace(line)
+		fmt.Fprintf(&b, "%s: %s\n", line, show(line))
+	}
+	return b.String()
+}
+
+func showTarget(line string) string {
+	u, err := url.ParseRequestURI(line)
+	if err != nil {
+		return "no URI"
+	}
+	to, err := targetOf(u)
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("service=%s path=%s raw=%s query=%s", to.service, to.path, to.raw, to.query)
+}
+
+func headerOf(t *testing.T, input string) http.Header {
+	h, err := textproto.NewReader(bufio.NewReader(strings.NewReader(input + "\n\n"))).ReadMIMEHeader()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return http.Header(h)
+}
+
+func showPassed(t *testing.T, input string) string {
+	h := passedHeader(headerOf(t, input))
+	return strings.Join(slices.Sorted(maps.Keys(h)), "\n")
+}
+
+func showCall(t *testing.T, input string) string {
+	h := headerOf(t, input)
+	_, keyed, err := keyOf(h)
+	if err != nil {
+		return err.Error()
+	}
+	budget, err := budgetOf(h, DefaultLimits())
+	if err != nil {
+		return err.Error()
+	}
+	key, err := idempotencyOf(h)
+	if err != nil {
+		return err.Error()
+	}
+	_, err = tokenOf(h)
+	return fmt.Sprintf("keyed=%t budget=%d idempotency=%q token error=%v", keyed, budget, key, err)
+}
+
+func showReport(t *testing.T, input string) string {
+	rep, err := readReport(headerOf(t, input))
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("level=%d unused=%d refused=%t %s %s", rep.level, rep.unused, rep.refused, rep.refusal.Outcome(), rep.refusal.Reason())
+}
+
+// closingServer answers the first request of each connection and closes the
+// connection when it has read the second one. It counts the requests.
+func closingServer(t *testing.T) (address string, requests *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	requests = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for served := 0; ; served++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					requests.Add(1)
+					if served > 0 {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+// staleConn fails before it sends a byte once it is stale.
+type staleConn struct {
+	net.Conn
+	stale *atomic.Bool
+}
+
+// Write writes until the connection is stale.
+func (c staleConn) Write(p []byte) (int, error) {
+	if c.stale.Load() {
+		return 0, errors.New("stale connection")
+	}
+	return c.Conn.Write(p)
+}
+
+// showResend sends two requests on one connection. The second one is lost: the
+// server closes the connection, or not a byte of it can be written.
+func showResend(t *testing.T, line string, unwritten bool) string {
+	f := strings.Fields(line)
+	address, requests := closingServer(t)
+	transport := newTransport(4)
+	defer transport.CloseIdleConnections()
+	dial := transport.DialContext
+	dials := 0
+	var stale atomic.Bool
+	transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
+		dials++
+		conn, err := dial(ctx, network, to)
+		return staleConn{conn, &stale}, err
+	}
+	content := &body{start: []byte(strings.Repeat("x", len(f[1])-1)), length: int64(len(f[1]) - 1)}
+	var failure *hopError
+	for attempt := range 2 {
+		request, err := http.NewRequestWithContext(context.Background(), f[0], "http://"+address+"/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set(headerIdempotency, "k")
+		request.ContentLength = content.length
+		reader, err := content.open(attempt + 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var answer *http.Response
+		if answer, failure = sendOnce(transport, request, reader); failure == nil {
+			drain(answer)
+			stale.Store(unwritten)
+		}
+	}
+	if failure == nil {
+		return "no failure"
+	}
+	return fmt.Sprintf("dials=%d requests=%d connected=%t", dials, requests.Load(), failure.connected)
+}
+
+// showBreak sends a request to a host that fails in the named way.
+func showBreak(t *testing.T, how string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	switch how {
+	case "refused":
+		_ = listener.Close()
+	case "cancelled":
+		cancel()
+	default:
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			if how == "read" {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+			}
+		}()
+	}
+	transport := newTransport(1)
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, failure := sendOnce(transport, request, http.NoBody)
+	if failure == nil {
+		return "no failure"
+	}
+	return fmt.Sprintf("connected=%t refused=%t", failure.connected, failure.refused())
+}
+
+// TestStreamIsSentOnce guards against a large body of which two attempts send
+// parts: the library may go on reading for an attempt that has failed.
+func TestStreamIsSentOnce(t *testing.T) {
+	b := &body{start: []byte("ab"), rest: strings.NewReader("cd"), length: 4}
+	first, err := b.open(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := b.open(2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := first.Read(make([]byte, 1)); !errors.Is(err, errBodySent) {
+		t.Errorf("read of a failed attempt: %v", err)
+	}
+	data, err := io.ReadAll(second)
+	if diff := cmp.Diff("abcd", string(data)); diff != "" || err != nil {
+		t.Errorf("body (-want +got), error %v:\n%s", err, diff)
+	}
+	if _, err := b.open(3); !errors.Is(err, errBodySent) {
+		t.Errorf("body opened again after it was read: %v", err)
+	}
+}
+
+// TestMetricsText guards against output that collectors cannot read.
+func TestMetricsText(t *testing.T) {
+	m := newMetrics(gometrics.NewRegistry())
+	m.count("refused_for_over rate")
+	m.set("members", 3)
+	m.observe("call_milliseconds", 7*time.Millisecond)
+	var b strings.Builder
+	m.write(&b)
+	want := `# TYPE jackdawbridge_call_milliseconds summary
+jackdawbridge_call_milliseconds{quantile="0.5"} 7
+jackdawbridge_call_milliseconds{quantile="0.9"} 7
+jackdawbridge_call_milliseconds{quantile="0.99"} 7
+jackdawbridge_call_milliseconds_sum 7
+jackdawbridge_call_milliseconds_count 1
+# TYPE jackdawbridge_members gauge
+jackdawbridge_members 3
+# TYPE jackdawbridge_refused_for_over_rate_total counter
+jackdawbridge_refused_for_over_rate_total 1
+`
+	if diff := cmp.Diff(want, b.String()); diff != "" {
+		t.Errorf("metrics (-want +got):\n%s", diff)
+	}
+}
+
+// TestStatusOfEachReason guards against a reason that a caller cannot tell from
+// an answer.
+func TestStatusOfEachReason(t *testing.T) {
+	for r := jackdawbridge.NoReason + 1; r.String() != "invalid"; r++ {
+		if diff := cmp.Diff(r, reasonOf(r.String())); diff != "" || statusOf(r) < http.StatusBadRequest {
+			t.Errorf("reason %s, status %d (-want +got):\n%s", r, statusOf(r), diff)
+		}
+	}
+}
