--- /dev/null
+++ b/cmd/jackdawbridge/change_test.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/go-faster/errors"
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// raceStore holds one table and goes wrong as a script says.
+type raceStore struct {
+	record jackdawbridge.Record
+	faults []string // for the next swaps: lose-answer, lose-request, or an account that another operator adds
+}
+
+// Load returns the record.
+func (s *raceStore) Load(context.Context, jackdawbridge.RecordName) (jackdawbridge.Record, error) {
+	return s.record, nil
+}
+
+// Watch is not used.
+func (s *raceStore) Watch(ctx context.Context, name jackdawbridge.RecordName, _ uint64) (jackdawbridge.Record, error) {
+	return s.Load(ctx, name)
+}
+
+// Swap changes the record, after or before what the script says goes wrong.
+func (s *raceStore) Swap(_ context.Context, name jackdawbridge.RecordName, version uint64, value jackdawbridge.Value, _ jackdawbridge.Millis) (uint64, error) {
+	fault := ""
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	if other, ok := strings.CutPrefix(fault, "other:"); ok {
+		s.other(other)
+	}
+	if fault == "lose-request" {
+		return 0, errors.New("no answer")
+	}
+	if version != s.record.Version() {
+		return 0, jackdawbridge.ErrConflict
+	}
+	s.record = jackdawbridge.NewRecord(name, version+1, value)
+	if fault == "lose-answer" {
+		return 0, errors.New("no answer")
+	}
+	if other, ok := strings.CutPrefix(fault, "lose-answer-then-other:"); ok {
+		s.other(other)
+		return 0, errors.New("no answer")
+	}
+	return version + 1, nil
+}
+
+// other is a change by another operator.
+func (s *raceStore) other(account string) {
+	table, err := tableOf(s.record)
+	if err != nil {
+		panic(err)
+	}
+	next, err := table.Merge(table.Revision()+1, "of-another", []jackdawbridge.Entry{testAccount(account).At(table.Revision() + 1)})
+	if err != nil {
+		panic(err)
+	}
+	s.record = jackdawbridge.NewRecord(s.record.Name(), s.record.Version()+1, next)
+}
+
+func testAccount(name string) jackdawbridge.Entry {
+	share, err := jackdawbridge.NewShare("one", 1000)
+	if err != nil {
+		panic(err)
+	}
+	a, err := jackdawbridge.NewAccount(jackdawbridge.AccountName(name), 1, 1, []jackdawbridge.Share{share})
+	if err != nil {
+		panic(err)
+	}
+	return jackdawbridge.AccountEntry(a)
+}
+
+// TestChanges runs the scripts of testdata/change: changes of a table while
+// answers are lost and other operators make changes.
+func TestChanges(t *testing.T) {
+	datadriven.Walk(t, "testdata/change", func(t *testing.T, path string) {
+		s := &raceStore{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.faults = strings.Fields(d.Input)
+			c := newChange(s, jackdawbridge.ConfigTable, nil)
+			c.id, c.retry = arg(d, "id"), 0
+			switch d.Cmd {
+			case "reset":
+				*s = raceStore{}
+				return ""
+			case "apply":
+				var entries []jackdawbridge.Entry
+				for _, name := range strings.Split(arg(d, "accounts"), ",") {
+					entries = append(entries, testAccount(name))
+				}
+				c.edit, c.replaces = replaceWith(entries), true
+			case "give":
+				c.edit = giveKey(sha256.Sum256([]byte(arg(d, "key"))), arg(d, "account"), "")
+			case "withdraw":
+				c.edit = withdrawKey(fmt.Sprintf("%x", sha256.Sum256([]byte(arg(d, "key")))))
+			}
+			return show(s, c)
+		})
+	})
+}
+
+// show makes a change and describes its end and the table.
+func show(s *raceStore, c *change) string {
+	var b strings.Builder
+	revision, changed, err := c.make(context.Background())
+	if err != nil {
+		fmt.Fprintf(&b, "error: %v\n", err)
+	} else {
+		fmt.Fprintf(&b, "revision %d changed %t\n", revision, changed)
+	}
+	table, err := tableOf(s.record)
+	if err != nil {
+		return err.Error()
+	}
+	fmt.Fprintf(&b, "table: revision %d by %s:", table.Revision(), table.Change())
+	for _, e := range table.Entries() {
+		name := e.Name()
+		if strings.HasPrefix(name, "key/") {
+			name = name[:8]
+		}
+		if e.Removed() {
+			name = "-" + name
+		}
+		fmt.Fprintf(&b, " %s@%d", name, e.Revision())
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/jackdawbridge/node.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"os/signal"
+	"regexp"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/limiter"
+	"github.com/jackdawbridge/jackdawbridge/node"
+	"github.com/jackdawbridge/jackdawbridge/picker"
+	"github.com/jackdawbridge/jackdawbridge/queue"
+	"github.com/jackdawbridge/jackdawbridge/reducer"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// queueSize bounds the requests that wait for a slot of the backend server.
+const queueSize = 1024
+
+// minSecret is the least length of a fleet secret in bytes.
+const minSecret = 16
+
+// nodeCommand runs a node.
+type nodeCommand struct {
+	platformFlags
+	Instance   string   `required:"" help:"Name of the instance."`
+	DataCentre string   `required:"" help:"Name of the data centre."`
+	Callers    string   `required:"" help:"Address for callers, IP:PORT."`
+	Peers      string   `required:"" help:"Address for forwarded requests of peers, IP:PORT."`
+	Gossip     string   `required:"" help:"Address for datagrams of peers, IP:PORT."`
+	RPC        string   `required:"" name:"rpc" help:"Address for large messages of peers, IP:PORT."`
+	Backend    string   `required:"" help:"Loopback address for the own backend server, IP:PORT."`
+	Admin      string   `required:"" help:"Loopback address for operators, IP:PORT."`
+	Secret     []string `required:"" help:"Fleet secrets; the first one signs, all are accepted."`
+	Join       []string `help:"Gossip addresses of nodes to join, IP:PORT."`
+
+	DefaultTimeout time.Duration `default:"5s" help:"Time for a call that names none."`
+	MaxTimeout     time.Duration `default:"1m" help:"Greatest time for a call."`
+	HeaderBytes    int           `default:"32768" help:"Bound on the header of a request in bytes."`
+	HeaderTime     time.Duration `default:"5s" help:"Bound on the time to read a header."`
+	BodyBytes      int64         `default:"268435456" help:"Bound on the body of a request in bytes."`
+	BodyRate       int64         `default:"16384" help:"Least rate of a body in bytes a second."`
+	BodyGrace      time.Duration `default:"5s" help:"Time before the least rate of a body holds."`
+	MaxConns       int           `default:"4096" help:"Bound on the connections of each listener."`
+	Idle           time.Duration `default:"2m" help:"Time that a connection stays open without a request."`
+	Heartbeat      time.Duration `default:"3s" help:"Silence after which the backend server counts as lost."`
+	Linger         time.Duration `default:"2s" help:"Time between a stop and the end of the listeners."`
+	LogLevel       string        `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines: debug, info, warn or error."`
+}
+
+// Run runs the node until it has stopped.
+func (c *nodeCommand) Run() error {
+	addresses, self, err := c.identity()
+	if err != nil {
+		return err
+	}
+	limits, err := c.limits()
+	if err != nil {
+		return err
+	}
+	joins, err := c.joins()
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return flagError("log-level", c.LogLevel, "debug, info, warn or error")
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("instance", c.Instance)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return c.serve(ctx, self, joins, addresses, limits, logger)
+}
+
+// serve assembles the node and runs it until the context ends and the node has
+// stopped.
+func (c *nodeCommand) serve(ctx context.Context, self jackdawbridge.Peer, joins []jackdawbridge.Peer, addresses node.Addresses, limits node.Limits, logger *slog.Logger) error {
+	p, err := newParts(c.Platform, c.Secret)
+	if err != nil {
+		return err
+	}
+	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(self.Node().Instance(), uint64(p.clock.Now())), self.DataCentre(), self.Addresses())
+	var seed [32]byte
+	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
+	options := reducer.NewOptions(self, seed, picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(queueSize))
+	decisions, err := reducer.New(p.clock.Now(), options.WithJoins(joins))
+	if err != nil {
+		return errors.Errorf("start node: %w", err)
+	}
+	registry := gometrics.NewRegistry()
+	n, err := node.New(node.NewParts(decisions, p.store, p.codec, p.sealer, p.clock, logger, registry), limits, addresses)
+	if err != nil {
+		return err
+	}
+	transport, err := p.listen(self.Addresses(), registry, logger, n.Receive)
+	if err != nil {
+		n.Close()
+		return err
+	}
+	if err := n.Start(transport); err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, n.Stop)
+	n.Wait()
+	return nil
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
+
+// identity reads who the node is and where it listens. Its incarnation is set
+// when it starts.
+func (c *nodeCommand) identity() (node.Addresses, jackdawbridge.Peer, error) {
+	var addresses node.Addresses
+	var self jackdawbridge.Peer
+	for flag, value := range map[string]string{"instance": c.Instance, "data-centre": c.DataCentre} {
+		if !namePattern.MatchString(value) {
+			return addresses, self, flagError(flag, value, "a name of up to 64 lower-case letters, digits and hyphens")
+		}
+	}
+	for i, secret := range c.Secret {
+		if len(secret) < minSecret {
+			return addresses, self, errors.Errorf("--secret: secret %d has %d bytes: want at least %d", i+1, len(secret), minSecret)
+		}
+	}
+	flags := []struct{ name, value string }{
+		{"callers", c.Callers}, {"peers", c.Peers}, {"gossip", c.Gossip}, {"rpc", c.RPC}, {"backend", c.Backend}, {"admin", c.Admin},
+	}
+	parsed := make(map[string]netip.AddrPort, len(flags))
+	for _, f := range flags {
+		a, err := addrPort(f.name, f.value)
+		if err != nil {
+			return addresses, self, err
+		}
+		if (f.name == "backend" || f.name == "admin") && !a.Addr().IsLoopback() {
+			return addresses, self, flagError(f.name, f.value, "a loopback address")
+		}
+		// Peers are told these addresses.
+		if (f.name == "peers" || f.name == "gossip" || f.name == "rpc") && a.Addr().IsUnspecified() {
+			return addresses, self, flagError(f.name, f.value, "the address at which peers reach this node")
+		}
+		parsed[f.name] = a
+	}
+	addresses, err := node.NewAddresses(parsed["callers"], parsed["peers"], parsed["backend"], parsed["admin"])
+	if err != nil {
+		return addresses, self, err
+	}
+	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(jackdawbridge.Instance(c.Instance), 1), jackdawbridge.DataCentre(c.DataCentre),
+		jackdawbridge.NewAddresses(parsed["gossip"], parsed["rpc"], parsed["peers"]))
+	return addresses, self, nil
+}
+
+// joins returns the peers to join. Only their addresses are known.
+func (c *nodeCommand) joins() ([]jackdawbridge.Peer, error) {
+	var joins []jackdawbridge.Peer
+	for _, text := range c.Join {
+		a, err := addrPort("join", text)
+		if err != nil {
+			return nil, err
+		}
+		// The instance is not known before the first answer.
+		unknown := jackdawbridge.NewNode(jackdawbridge.Instance("unknown-"+a.String()), 1)
+		joins = append(joins, jackdawbridge.NewPeer(unknown, jackdawbridge.DataCentre(c.DataCentre), jackdawbridge.NewAddresses(a, a, a)))
+	}
+	return joins, nil
+}
+
+const greatestTime = 24 * time.Hour
+
+// limits reads the bounds of the listeners.
+func (c *nodeCommand) limits() (node.Limits, error) {
+	var none node.Limits
+	for _, f := range []struct {
+		name  string
+		value time.Duration
+		low   time.Duration
+	}{
+		{"default-timeout", c.DefaultTimeout, time.Millisecond},
+		{"max-timeout", c.MaxTimeout, c.DefaultTimeout},
+		{"header-time", c.HeaderTime, 10 * time.Millisecond},
+		{"body-grace", c.BodyGrace, 10 * time.Millisecond},
+		{"idle", c.Idle, time.Second},
+		{"heartbeat", c.Heartbeat, 100 * time.Millisecond},
+		{"linger", c.Linger, 0},
+	} {
+		if f.value < f.low || f.value > greatestTime {
+			return none, flagError(f.name, f.value.String(), fmt.Sprintf("%s to %s", f.low, greatestTime))
+		}
+	}
+	for _, f := range []struct {
+		name             string
+		value, low, high int64
+	}{
+		{"header-bytes", int64(c.HeaderBytes), 1 << 10, 1 << 20},
+		{"body-bytes", c.BodyBytes, 0, 1 << 40},
+		{"body-rate", c.BodyRate, 1, 1 << 30},
+		{"max-conns", int64(c.MaxConns), 1, 1 << 20},
+	} {
+		if err := within(f.name, f.value, f.low, f.high); err != nil {
+			return none, err
+		}
+	}
+	return node.DefaultLimits().
+		WithHeader(c.HeaderBytes, c.HeaderTime).
+		WithBody(c.BodyBytes, c.BodyRate, c.BodyGrace).
+		WithConns(c.MaxConns, c.Idle).
+		WithTimeouts(c.DefaultTimeout, c.MaxTimeout).
+		WithHeartbeat(c.Heartbeat).
+		WithLinger(c.Linger), nil
+}
--- /dev/null
+++ b/cmd/jackdawbridge/parts.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"log/slog"
+
+	"github.com/go-faster/errors"
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/clock"
+	"github.com/jackdawbridge/jackdawbridge/gossip"
+	"github.com/jackdawbridge/jackdawbridge/platform"
+	"github.com/jackdawbridge/jackdawbridge/rpc"
+	"github.com/jackdawbridge/jackdawbridge/transport"
+	"github.com/jackdawbridge/jackdawbridge/wire"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// openStore returns the client of the platform's service.
+func openStore(address string) (jackdawbridge.Store, error) {
+	if _, err := addrPort("platform", address); err != nil {
+		return nil, err
+	}
+	store, err := platform.New("http://"+address, wire.Codec{})
+	if err != nil {
+		return nil, errors.Errorf("--platform: %w", err)
+	}
+	return store, nil
+}
+
+// parts are what a node is made of besides its decisions.
+type parts struct {
+	store  jackdawbridge.Store
+	codec  jackdawbridge.Codec
+	sealer *wire.Sealer
+	clock  jackdawbridge.Clock
+}
+
+func newParts(platform string, secrets []string) (parts, error) {
+	store, err := openStore(platform)
+	if err != nil {
+		return parts{}, err
+	}
+	system := clock.New()
+	keys := make([][]byte, len(secrets))
+	for i, s := range secrets {
+		keys[i] = []byte(s)
+	}
+	sealer, err := wire.NewSealer(system, keys...)
+	if err != nil {
+		return parts{}, errors.Errorf("--secret: %w", err)
+	}
+	return parts{store: store, codec: wire.Codec{}, sealer: sealer, clock: system}, nil
+}
+
+// listen opens the transports for messages of peers.
+func (p parts) listen(at jackdawbridge.Addresses, registry gometrics.Registry, logger *slog.Logger, handle func(jackdawbridge.Frame)) (jackdawbridge.Transport, error) {
+	small, err := gossip.Listen(at.Gossip(), p.codec, p.sealer, registry, logger, handle)
+	if err != nil {
+		return nil, errors.Errorf("--gossip=%s: %w", at.Gossip(), err)
+	}
+	large, err := rpc.Listen(at.RPC(), p.codec, p.sealer, registry, logger, handle)
+	if err != nil {
+		_ = small.Close()
+		return nil, errors.Errorf("--rpc=%s: %w", at.RPC(), err)
+	}
+	return transport.New(p.codec, p.sealer, small, gossip.MaxFrame, large), nil
+}
--- /dev/null
+++ b/cmd/jackdawbridge/script_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/go-faster/errors"
+)
+
+// TestProcesses runs each file of testdata/processes over real processes. The
+// comments of a file name the failures that it guards against.
+func TestProcesses(t *testing.T) {
+	bin := buildPrograms(t)
+	datadriven.Walk(t, "testdata/processes", func(t *testing.T, path string) {
+		f := newFleet(t, bin)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			out, err := f.command(d)
+			if err != nil {
+				d.Fatalf(t, "%v\n%s", err, out)
+			}
+			return out
+		})
+	})
+}
+
+func arg(d *datadriven.TestData, name string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == name {
+			return strings.Join(a.Vals, ",")
+		}
+	}
+	return ""
+}
+
+// command runs one command of a script.
+func (f *fleet) command(d *datadriven.TestData) (string, error) {
+	switch d.Cmd {
+	case "platform":
+		f.platform = f.freeAddress()
+		return "", f.start("platform", "standin", "platform", "--listen", f.platform)
+	case "node":
+		return "", f.startNode(arg(d, "name"), arg(d, "dc"))
+	case "backend":
+		return "", f.startBackend(d)
+	case "apply":
+		return f.apply(d)
+	case "give":
+		return "", f.give(arg(d, "account"), arg(d, "as"))
+	case "withdraw":
+		return f.withdraw(arg(d, "key"))
+	case "call":
+		return f.call(d).String(), nil
+	case "await":
+		want := strings.TrimSpace(d.Input)
+		return f.poll("answer", func() (string, bool) {
+			got := f.call(d).String()
+			return got, got == want
+		})
+	case "load":
+		m := f.members[arg(d, "node")]
+		f.startLoad(m.callers, arg(d, "path"), f.keys[arg(d, "key")])
+		return "", nil
+	case "await-load":
+		want, _ := strconv.Atoi(arg(d, "calls"))
+		_, err := f.poll("load", func() (string, bool) {
+			n := f.load.count("200")
+			return fmt.Sprint(n), n >= want
+		})
+		return "", err
+	case "end-load":
+		close(f.load.stop)
+		f.load.group.Wait()
+		return strings.Join(slices.Sorted(maps.Keys(f.load.ends)), "\n"), nil
+	case "kill":
+		return f.signal(arg(d, "process"), syscall.SIGKILL)
+	case "stop":
+		return f.signal(arg(d, "process"), syscall.SIGTERM)
+	case "received":
+		return f.received(arg(d, "process"), f.keys[arg(d, "key")])
+	}
+	return "", errors.Errorf("unknown command %s", d.Cmd)
+}
+
+func (f *fleet) startBackend(d *datadriven.TestData) error {
+	node := arg(d, "node")
+	args := []string{"backend", "--listen", f.freeAddress(), "--node", f.members[node].backend, "--service", arg(d, "service"), "--slots", "8"}
+	if next := arg(d, "next"); next != "" {
+		args = append(args, "--next", next)
+	}
+	return f.start("backend-"+node, "standin", args...)
+}
+
+// asks returns the flags that ask all nodes what is in force.
+func (f *fleet) asks() []string {
+	args := []string{"--wait", patience.String()}
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		args = append(args, "--ask", f.members[name].dc+"="+f.members[name].peers)
+	}
+	return args
+}
+
+// apply applies a sample. It repeats the command until the platform is up.
+func (f *fleet) apply(d *datadriven.TestData) (string, error) {
+	file := filepath.Join("..", "..", "examples", arg(d, "file"))
+	args := append([]string{"apply", "--platform", f.platform, file}, f.asks()...)
+	out, err := f.poll("apply", func() (string, bool) {
+		out, err := f.run("", "jackdawbridge", args...)
+		return out, err == nil
+	})
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	return strings.Join(lines[1:], "\n"), err // the first line has a random id
+}
+
+func (f *fleet) give(account, as string) error {
+	out, err := f.run("", "jackdawbridge", append([]string{"keys", "give", "--platform", f.platform, "--account", account}, f.asks()...)...)
+	if err != nil {
+		return errors.Errorf("give: %s: %w", out, err)
+	}
+	key, _, _ := strings.Cut(strings.TrimPrefix(out, "key "), "\n")
+	f.keys[as] = key
+	return nil
+}
+
+func (f *fleet) withdraw(as string) (string, error) {
+	out, err := f.run(f.keys[as]+"\n", "jackdawbridge", append([]string{"keys", "withdraw", "--platform", f.platform, "--key"}, f.asks()...)...)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	return strings.Join(lines[1:], "\n"), err
+}
+
+func (f *fleet) call(d *datadriven.TestData) answer {
+	key := arg(d, "key")
+	if known, ok := f.keys[key]; ok {
+		key = known
+	}
+	method := http.MethodGet
+	if m := arg(d, "method"); m != "" {
+		method = m
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	size, _ := strconv.Atoi(arg(d, "body"))
+	return call(client, method, f.members[arg(d, "node")].callers, arg(d, "path"), key, strings.NewReader(strings.Repeat("x", size)))
+}
+
+// received tells what of a caller's secrets a backend server has seen.
+func (f *fleet) received(name, key string) (string, error) {
+	out := f.processes[name].out.String()
+	return fmt.Sprintf("requests: %t\nkey: %t\nauthorization: %t\nenvelope: %t\ntoken: %t",
+		strings.Contains(out, `"method"`), strings.Contains(out, key), strings.Contains(out, "Authorization"),
+		strings.Contains(out, "Jackdaw-Envelope"), strings.Contains(out, "Jackdaw-Token")), nil
+}
--- a/questionnaire/field.go
+++ b/questionnaire/field.go
@@ -209,6 +209,9 @@
 	return "", false
 }
 
+// maxQuote bounds what a fault repeats of a value in bytes.
+const maxQuote = 60
+
 // describe returns what a value is, for a fault.
 func describe(node ast.Node) string {
 	switch n := node.(type) {
@@ -224,5 +227,9 @@
 	case *ast.AnchorNode, *ast.AliasNode:
 		return "an anchor or an alias"
 	}
-	return fmt.Sprintf("%q", node.GetToken().Value)
+	text := node.GetToken().Value
+	if len(text) > maxQuote {
+		text = text[:maxQuote] + "..."
+	}
+	return fmt.Sprintf("%q", text)
 }
