node: bound the wait for bodies that no handler reads

A sender that announced a body and did not send it held its connection for ever when the request was refused before the body was read, and an announcement without its rest was waited for without an end. Ruled out: ReadTimeout of the server, which would cut large bodies.

--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -67,7 +67,7 @@
 
 // member is the addresses of a node.
 type member struct {
-	dc                                           string
+	dc                                          string
 	callers, peers, gossip, rpc, backend, admin string
 }
 
@@ -178,7 +178,7 @@
 }
 
 // startNode starts a node that joins all others.
-func (f *fleet) startNode(name, dc string) error {
+func (f *fleet) startNode(name, dc string, flags ...string) error {
 	m := &member{
 		dc: dc, callers: f.freeAddress(), peers: f.freeAddress(), gossip: f.freeAddress(),
 		rpc: f.freeAddress(), backend: f.freeAddress(), admin: f.freeAddress(),
@@ -192,7 +192,7 @@
 		args = append(args, "--join", other.gossip)
 	}
 	f.members[name] = m
-	return f.start(name, "jackdawbridge", args...)
+	return f.start(name, "jackdawbridge", append(args, flags...)...)
 }
 
 // answer is what a caller sees of a call.
@@ -290,4 +290,3 @@
 	defer l.mu.Unlock()
 	return l.ends[end]
 }
-
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -1,15 +1,21 @@
 package main
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"maps"
+	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/go-faster/errors"
@@ -47,7 +53,7 @@
 		f.platform = f.freeAddress()
 		return "", f.start("platform", "standin", "platform", "--listen", f.platform)
 	case "node":
-		return "", f.startNode(arg(d, "name"), arg(d, "dc"))
+		return "", f.startNode(arg(d, "name"), arg(d, "dc"), strings.Fields(d.Input)...)
 	case "backend":
 		return "", f.startBackend(d)
 	case "apply":
@@ -64,6 +70,10 @@
 			got := f.call(d).String()
 			return got, got == want
 		})
+	case "raw":
+		return f.raw(arg(d, "node"), arg(d, "listener"), d.Input)
+	case "metric":
+		return f.metric(arg(d, "node"), arg(d, "name"))
 	case "load":
 		m := f.members[arg(d, "node")]
 		f.startLoad(m.callers, arg(d, "path"), f.keys[arg(d, "key")])
@@ -156,3 +166,49 @@
 		strings.Contains(out, `"method"`), strings.Contains(out, key), strings.Contains(out, "Authorization"),
 		strings.Contains(out, "Jackdaw-Envelope"), strings.Contains(out, "Jackdaw-Token")), nil
 }
+
+// raw sends bytes to a listener and returns the status line of the answer and
+// what it says of a refusal.
+func (f *fleet) raw(node, listener, input string) (string, error) {
+	m := f.members[node]
+	address := map[string]string{"callers": m.callers, "peers": m.peers, "backend": m.backend, "admin": m.admin}[listener]
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		return "", err
+	}
+	head, content, _ := strings.Cut(input, "\nbody: ")
+	if _, err := io.WriteString(conn, strings.ReplaceAll(head, "\n", "\r\n")+"\r\nHost: x\r\n\r\n"+content); err != nil {
+		return "", err
+	}
+	got, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no answer", nil
+	}
+	defer func() { _ = got.Body.Close() }()
+	end := ""
+	if got.Close {
+		_, _ = io.Copy(io.Discard, got.Body)
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			end = "and keeps the connection"
+		}
+	}
+	return strings.TrimSpace(fmt.Sprintf("%d %s %s %s", got.StatusCode, got.Header.Get("Jackdaw-Outcome"), got.Header.Get("Jackdaw-Reason"), end)), nil
+}
+
+// metric returns a line of a node's metrics.
+func (f *fleet) metric(node, name string) (string, error) {
+	page, err := ask(context.Background(), f.members[node].admin, "/metrics")
+	if err != nil {
+		return "", err
+	}
+	for line := range strings.Lines(string(page)) {
+		if strings.HasPrefix(line, name+" ") {
+			return strings.TrimSpace(line), nil
+		}
+	}
+	return "none", nil
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -77,7 +77,7 @@
 		n.metrics.count("connections_refused_" + name)
 	}}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           n.boundBody(handler),
 		ReadHeaderTimeout: n.limits.headerTime,
 		IdleTimeout:       n.limits.idle,
 		MaxHeaderBytes:    n.limits.headerBytes,
@@ -92,6 +92,18 @@
 	return nil
 }
 
+// boundBody bounds the wait for a body that a handler does not read: the server
+// reads the rest of it after the answer. A handler that reads sets its own
+// deadlines.
+func (n *Node) boundBody(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(n.limits.bodyGrace))
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // shutdown ends the listeners without cutting a request. It lingers first:
 // callers that still have a connection get an answer that closes it.
 func (n *Node) shutdown() {
