node: a stop that cuts no request

Causes: http.Server.Shutdown drops a request that it reads after the shutdown has begun; and the kernel resets connections that wait in the accept queue when the listener is closed.

The node now closes its listeners itself and waits until no connection is new or has a request. Before that a socket filter drops SYNs, so that the queue runs empty and later clients are refused.

Ruled out: a longer linger, which only moves the instant of the close.

--- a/node/listen.go
+++ b/node/listen.go
@@ -37,6 +37,11 @@
 // found nothing left to do. Only their last bytes can be missing by then.
 const shutdownLimit = 30 * time.Second
 
+// settleTime is the time for handshakes that have begun to complete and for
+// their connections to be accepted. It is above the time of a round trip
+// between regions.
+const settleTime = 250 * time.Millisecond
+
 // listen opens the listeners.
 func (n *Node) listen() error {
 	for _, l := range []struct {
@@ -69,29 +74,90 @@
 }
 
 func (n *Node) serve(name string, address netip.AddrPort, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address.String())
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // such a socket takes no filter, see stopHandshakes
+	listener, err := config.Listen(n.ctx, "tcp", address.String())
 	if err != nil {
 		return errors.Errorf("listen for %s: %w", name, err)
 	}
 	bounded := &boundedListener{Listener: listener, limit: int64(n.limits.conns), refused: func() {
 		n.metrics.count("connections_refused_" + name)
 	}}
+	connections := newConnections()
 	server := &http.Server{
 		Handler:           n.boundBody(handler),
+		ConnState:         connections.changeTo,
 		ReadHeaderTimeout: n.limits.headerTime,
 		IdleTimeout:       n.limits.idle,
 		MaxHeaderBytes:    n.limits.headerBytes,
 		ErrorLog:          slog.NewLogLogger(n.parts.logger.Handler(), slog.LevelDebug),
 	}
-	n.servers = append(n.servers, server)
+	e := &endpoint{server: server, listener: listener, ended: make(chan struct{}), connections: connections}
+	n.servers = append(n.servers, e)
 	go func() {
-		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
+		defer close(e.ended)
+		err := server.Serve(bounded)
+		if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			n.log.warn("node: listener ended", "listener", name, "error", err)
 		}
 	}()
 	return nil
 }
 
+// endpoint is a listener with its server.
+type endpoint struct {
+	server      *http.Server
+	listener    net.Listener
+	ended       chan struct{} // closed when no connection is accepted any more
+	connections *connections
+}
+
+// connections knows which connections of a server have a request or are new.
+type connections struct {
+	changed chan struct{} // has a value after a connection became free
+
+	mu   sync.Mutex
+	busy map[net.Conn]bool
+}
+
+func newConnections() *connections {
+	return &connections{changed: make(chan struct{}, 1), busy: make(map[net.Conn]bool)}
+}
+
+// changeTo takes note of the state of a connection.
+func (c *connections) changeTo(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	if state == http.StateNew || state == http.StateActive {
+		c.busy[conn] = true
+		c.mu.Unlock()
+		return
+	}
+	delete(c.busy, conn)
+	c.mu.Unlock()
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// await waits until no connection has a request and returns how many have one
+// when the context ends.
+func (c *connections) await(ctx context.Context) int {
+	for {
+		c.mu.Lock()
+		left := len(c.busy)
+		c.mu.Unlock()
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-c.changed:
+		case <-ctx.Done():
+			return left
+		}
+	}
+}
+
 // boundBody bounds the wait for a body that a handler does not read: the server
 // reads the rest of it after the answer. A handler that reads sets its own
 // deadlines.
@@ -106,19 +172,30 @@
 
 // shutdown ends the listeners without cutting a request. It lingers first:
 // callers that still have a connection get an answer that closes it.
+//
+// Shutdown of http.Server is not used: it drops a request that it reads after
+// the shutdown has begun, also on a connection that was accepted before.
 func (n *Node) shutdown() {
 	n.pause(n.limits.linger)
 	ctx, cancel := context.WithTimeout(n.ctx, shutdownLimit)
 	defer cancel()
-	var group sync.WaitGroup
 	for _, s := range n.servers {
-		group.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				n.log.warn("node: listener cut requests at its end", "error", err)
-			}
-		})
+		if err := stopHandshakes(s.listener); err != nil {
+			n.log.warn("node: connections may be cut at the end", "error", err)
+		}
+	}
+	n.pause(settleTime)
+	for _, s := range n.servers {
+		if err := s.listener.Close(); err != nil {
+			n.log.warn("node: listener did not close", "error", err)
+		}
+		<-s.ended
+	}
+	for _, s := range n.servers {
+		if left := s.connections.await(ctx); left > 0 {
+			n.log.warn("node: requests cut at the end", "count", left)
+		}
 	}
-	group.Wait()
 	n.log.info("node: stopped")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,7 @@
 	log       *logWriter
 	upstreams *http.Transport // to the nodes of upstreams
 	backend   *backend
-	servers   []*http.Server
+	servers   []*endpoint
 
 	ctx      context.Context // ends with the node
 	cancel   context.CancelFunc
@@ -136,7 +137,7 @@
 	n.transport = nil
 	n.mu.Unlock()
 	for _, s := range n.servers {
-		if err := s.Close(); err != nil {
+		if err := s.server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			n.log.warn("node: listener did not close", "error", err)
 		}
 	}
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -294,3 +295,42 @@
 		}
 	}
 }
+
+// TestStopHandshakes guards against a connection that is established and then
+// reset because the listener was closed before it was accepted.
+func TestStopHandshakes(t *testing.T) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	early, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = early.Close() }()
+	if err := stopHandshakes(listener); err != nil {
+		t.Fatal(err)
+	}
+	late := make(chan error, 1)
+	go func() {
+		_, err := net.Dial("tcp", listener.Addr().String())
+		late <- err
+	}()
+	select {
+	case err := <-late:
+		t.Fatalf("connection after the handshakes were stopped: %v", err)
+	case <-time.After(settleTime):
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.Close()
+	_ = listener.Close()
+	if err := <-late; !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("connection after the close: %v", err)
+	}
+}
