--- a/reducer/membership_test.go
+++ b/reducer/membership_test.go
@@ -58,6 +58,23 @@
 	}
 }
 
+// TestIdleStepAllocatesNothing guards against a cost of membership and settings
+// in each step of the call path, when nothing of theirs is due.
+func TestIdleStepAllocatesNothing(t *testing.T) {
+	h := newHarness()
+	h.fleet("n", "one", 8, "balancedesk", "")
+	h.run(10 * jackdawbridge.Second)
+	n := h.nodes["n1"]
+	tick := jackdawbridge.NewTick(n.reducer.now)
+	allocs := testing.AllocsPerRun(100, func() {
+		n.fx.Reset()
+		n.reducer.Apply(tick, &n.fx)
+	})
+	if allocs != 0 || len(n.fx.All()) != 0 {
+		t.Errorf("%v allocations and %d effects in a step with nothing due: want none", allocs, len(n.fx.All()))
+	}
+}
+
 // TestSpreadOfAnnouncement guards against a draining backend server that other
 // nodes learn of too late.
 func TestSpreadOfAnnouncement(t *testing.T) {
