reducer: decide who holds each range, and keep accounts inside their rate

Cause: authority and shares were stubs. No node held a range, and every request passed.

Change, ranges: record through compare-and-swap, read by few members and passed on by digest, Pull and RangesDelta; leases by votes of the witnesses; pending and settled records; proofs that a holder ended; release, takeover by the next process of a slot, freeze and lost answers. The digest carries twice the epoch plus one once settled, so that both states spread alike.

Change, shares: token buckets at the homes of lots with Ask, Grant, Deny, Report and Handover; the borrower's wallet with prefetch, waiting calls and denials; division into whole tokens of burst and into lots; changes of the configuration without an overrun.

go test ./reducer -run TestStorm -rapid.checks=400, three times: 1,200 cases passed.

TestMembershipCost fails: votes count in its bound of 11 messages a second (17.8 at 32 nodes, 29.8 at 128). Its bound on bytes holds (5,220 of 14,000 a second). It is not relaxed here.

The checker of ranges is off after a script gives a false proof that a live process ended (testdata/membership does): the design rests on such proofs.

--- a/message.go
+++ b/message.go
@@ -9,7 +9,7 @@
 type Digest struct {
 	config    uint64 // revision of the config table
 	keys      uint64 // revision of the keys table
-	epoch     uint64 // epoch of the data centre's range record
+	epoch     uint64 // twice the epoch of the data centre's range record, plus one once that is settled
 	confirmed Millis // time since the platform last confirmed the above, directly or relayed
 }
 
@@ -24,7 +24,8 @@
 // Keys returns the revision of the keys table.
 func (d Digest) Keys() uint64 { return d.keys }
 
-// Epoch returns the epoch of the data centre's range record.
+// Epoch returns twice the epoch of the data centre's range record, plus one
+// once that is settled. It rises with each state of the record.
 func (d Digest) Epoch() uint64 { return d.epoch }
 
 // Confirmed returns the time since the platform last confirmed the revisions.
--- a/reducer/fleet_test.go
+++ b/reducer/fleet_test.go
@@ -35,6 +35,7 @@
 // refusals lets a node learn that connections to another are refused.
 func (h *harness) refusals(at, target string) {
 	node := h.nodes[target].peer.Node()
+	h.falseProof = h.falseProof || h.nodes[target].alive
 	h.nodes[at].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewPeerRefused(at, node) })
 }
 
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -87,11 +87,13 @@
 	service  jackdawbridge.Millis                                // time that a run takes
 	requests map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs     map[jackdawbridge.CallID]*fakeRun
+	admitted map[jackdawbridge.CallID]bool
 	exited   bool
-	crashes  int // of the backend server
-	loads    int // calls to the platform
-	sent     int // messages
-	bytes    int // of the messages, estimated
+	crashes  int                  // of the backend server
+	loads    int                  // calls to the platform
+	sent     int                  // messages
+	bytes    int                  // of the messages, estimated
+	skew     jackdawbridge.Millis // of the process's clock
 }
 
 // harness drives a few reducers in virtual time over a fake link and a fake
@@ -107,9 +109,14 @@
 	published  map[jackdawbridge.RecordName]*jackdawbridge.Table // newest
 	previous   map[jackdawbridge.RecordName]*jackdawbridge.Table // before the newest
 	onChange   func(name jackdawbridge.RecordName, revision uint64, entries []jackdawbridge.Entry)
-	disturbed  jackdawbridge.Millis // when a fault last began or ended
+	disturbed  jackdawbridge.Millis               // when a fault last began or ended
+	skews      map[string]jackdawbridge.Millis    // of the clocks of new processes
+	delays     map[[2]string]jackdawbridge.Millis // of messages, one way
+	drops      map[string]bool                    // by kind of message and receiver
+	falseProof bool                               // a node was told that a live process ended
 	onSend     func(from, to *fakeNode, frame jackdawbridge.Frame) linkFault
 	afterStep  func(*fakeNode)
+	onAdmit    func(jackdawbridge.AccountName) // a request got past the rate of its account
 	nextCall   jackdawbridge.CallID
 	executions []execution
 	results    map[jackdawbridge.RequestID]result
@@ -131,6 +138,9 @@
 		published: make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
 		previous:  make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
 		results:   make(map[jackdawbridge.RequestID]result),
+		drops:     make(map[string]bool),
+		delays:    make(map[[2]string]jackdawbridge.Millis),
+		skews:     make(map[string]jackdawbridge.Millis),
 	}
 	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
 	return h
@@ -164,6 +174,7 @@
 		index = len(h.order) - 1
 	}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)}), 7000)
+	skew := h.skews[name]
 	node := jackdawbridge.NewNode(jackdawbridge.Instance(name), uint64(h.now))
 	peer := jackdawbridge.NewPeer(node, dc, jackdawbridge.NewAddresses(address, address, address))
 	var peers []jackdawbridge.Peer
@@ -171,13 +182,14 @@
 		peers = append(peers, h.nodes[j].peer)
 	}
 	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(64))
-	r, err := New(h.now, options.WithJoins(peers))
+	r, err := New(h.now+skew, options.WithJoins(peers))
 	if err != nil {
 		panic(err)
 	}
 	n := &fakeNode{
-		name: name, h: h, peer: peer, reducer: r, alive: true, service: 5,
+		name: name, h: h, peer: peer, reducer: r, alive: true, service: 5, skew: skew,
 		requests: make(map[jackdawbridge.CallID]*jackdawbridge.Request),
+		admitted: make(map[jackdawbridge.CallID]bool),
 		runs:     make(map[jackdawbridge.CallID]*fakeRun),
 	}
 	h.nodes[name] = n
@@ -196,7 +208,7 @@
 		return
 	}
 	n.fx.Reset()
-	n.reducer.Apply(event(n.h.now), &n.fx)
+	n.reducer.Apply(event(n.h.now+n.skew), &n.fx)
 	for _, effect := range n.fx.All() {
 		n.execute(effect)
 	}
@@ -207,7 +219,7 @@
 }
 
 func (n *fakeNode) schedule() {
-	at := max(n.reducer.Wake(), n.h.now+1)
+	at := max(n.reducer.Wake()-n.skew, n.h.now+1)
 	if n.wake != 0 && n.wake <= at {
 		return
 	}
@@ -294,7 +306,14 @@
 	if fault.drop {
 		return
 	}
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", frame.Message()), "*jackdawbridge.")
+	if n.h.drops[kind+" "+target.name] {
+		return
+	}
+	fault.delay += n.h.delays[[2]string{n.name, target.name}]
 	deliver := func() {
+		// The address may belong to a new process by now.
+		target := n.h.nodes[target.name]
 		target.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewReceived(at, frame) })
 	}
 	n.h.after(linkDelay+fault.delay, deliver)
@@ -319,6 +338,9 @@
 
 func (n *fakeNode) forward(e *jackdawbridge.Forward) {
 	call, attempt, envelope := e.Call(), e.Attempt(), e.Envelope()
+	if attempt == 1 {
+		n.admit(call)
+	}
 	target := n.h.byNode(e.Target().Node())
 	if target == nil || !target.alive {
 		n.h.after(linkDelay, func() {
@@ -398,6 +420,9 @@
 		n.h.after(linkDelay, func() { u.origin.failed(u.call, u.attempt, refusal, level, unused, false) })
 		return
 	}
+	if e.Refusal().Reason() == jackdawbridge.NoUpstream {
+		n.admit(e.Call())
+	}
 	n.h.results[n.requests[e.Call()].ID()] = result{at: n.h.now, refusal: e.Refusal()}
 }
 
--- /dev/null
+++ b/reducer/ranges.go
@@ -0,0 +1,160 @@
+package reducer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// maxWitnesses is the number of witnesses of a large data centre.
+const maxWitnesses = 5
+
+// hashOf returns the hash of a name for one purpose.
+func hashOf(name string, purpose uint64) uint64 {
+	var buffer [72]byte
+	b := binary.LittleEndian.AppendUint64(buffer[:0], purpose)
+	return xxhash.Sum64(append(b, name...))
+}
+
+// The purposes of hashes that are not ranges.
+const (
+	hashRank uint64 = jackdawbridge.RangeCount + iota
+	hashWitness
+	hashLot
+)
+
+// isRanges returns the data centre whose range record has the given name.
+func isRanges(name jackdawbridge.RecordName) (jackdawbridge.DataCentre, bool) {
+	dc, ok := strings.CutPrefix(string(name), string(jackdawbridge.RangesPrefix))
+	return jackdawbridge.DataCentre(dc), ok && dc != ""
+}
+
+// progress numbers the states of a range record: it rises when a change is
+// written and again when it is settled. 0 stands for no record.
+func progress(r *jackdawbridge.Ranges) uint64 {
+	switch {
+	case r == nil:
+		return 0
+	case r.Pending():
+		return 2 * r.Epoch()
+	}
+	return 2*r.Epoch() + 1
+}
+
+// moved reports whether a range has another holder than at the last settled epoch.
+func moved(r *jackdawbridge.Ranges, i int) bool { return r.Holder(i) != r.Previous(i) }
+
+// assign gives each range to the member with the highest hash of its name, so
+// that a member that joins or leaves moves few ranges.
+func assign(members []jackdawbridge.Peer) (holders [jackdawbridge.RangeCount]jackdawbridge.Node) {
+	for i := range holders {
+		var best uint64
+		for _, m := range members {
+			h := hashOf(string(m.Node().Instance()), uint64(i))
+			if holders[i].IsZero() || h > best || h == best && m.Node().Instance() > holders[i].Instance() {
+				holders[i], best = m.Node(), h
+			}
+		}
+	}
+	return holders
+}
+
+// elect keeps the witnesses that are members and fills up by hash. The number
+// is odd: an even one tolerates no more losses than the odd one below it. If
+// not all are kept, the writer is: it reaches the platform.
+func elect(members []jackdawbridge.Peer, current []jackdawbridge.Node, writer jackdawbridge.Node) []jackdawbridge.Node {
+	count := min(len(members), maxWitnesses)
+	if count > 0 && count%2 == 0 {
+		count--
+	}
+	isMember := func(n jackdawbridge.Node) bool {
+		return slices.ContainsFunc(members, func(m jackdawbridge.Peer) bool { return m.Node() == n })
+	}
+	var elected []jackdawbridge.Node
+	for _, n := range current {
+		if isMember(n) {
+			elected = append(elected, n)
+		}
+	}
+	if len(elected) > count {
+		if i := slices.Index(elected, writer); i > 0 {
+			elected[0], elected[i] = elected[i], elected[0]
+		}
+		elected = elected[:count]
+	}
+	rest := slices.Clone(members)
+	slices.SortFunc(rest, func(a, b jackdawbridge.Peer) int {
+		return compareByHash(a.Node(), b.Node(), hashWitness)
+	})
+	for _, m := range rest {
+		if len(elected) < count && !slices.Contains(elected, m.Node()) {
+			elected = append(elected, m.Node())
+		}
+	}
+	return elected
+}
+
+func compareByHash(a, b jackdawbridge.Node, purpose uint64) int {
+	x, y := hashOf(string(a.Instance()), purpose), hashOf(string(b.Instance()), purpose)
+	return cmp.Or(cmp.Compare(x, y), cmp.Compare(a.Instance(), b.Instance()))
+}
+
+// standing returns how many members have a lower hash than this node.
+func standing(members []jackdawbridge.Peer, self jackdawbridge.Node) int {
+	n := 0
+	for _, m := range members {
+		if m.Node() != self && compareByHash(m.Node(), self, hashRank) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// sameSet reports whether two lists hold the same nodes.
+func sameSet(a, b []jackdawbridge.Node) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, n := range a {
+		if !slices.Contains(b, n) {
+			return false
+		}
+	}
+	return true
+}
+
+// named returns the holders and witnesses of a record, each once.
+func named(r *jackdawbridge.Ranges) []jackdawbridge.Node {
+	var nodes []jackdawbridge.Node
+	for i := range jackdawbridge.RangeCount {
+		nodes = addOnce(nodes, r.Holder(i))
+	}
+	for _, n := range r.Witnesses() {
+		nodes = addOnce(nodes, n)
+	}
+	return nodes
+}
+
+// concerned returns the named nodes and, while a record is pending, those of
+// the last settled epoch.
+func concerned(r *jackdawbridge.Ranges) []jackdawbridge.Node {
+	nodes := named(r)
+	for i := range jackdawbridge.RangeCount {
+		nodes = addOnce(nodes, r.Previous(i))
+	}
+	for _, n := range r.Electors() {
+		nodes = addOnce(nodes, n)
+	}
+	return nodes
+}
+
+func addOnce(nodes []jackdawbridge.Node, n jackdawbridge.Node) []jackdawbridge.Node {
+	if n.IsZero() || slices.Contains(nodes, n) {
+		return nodes
+	}
+	return append(nodes, n)
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -185,6 +185,7 @@
 	r.members.heard(from)
 	r.settings.heard(from, frame.Digest())
 	r.authority.heard(from, frame.Digest())
+	r.shares.heard(from, frame.Digest())
 	switch m := frame.Message().(type) {
 	case *jackdawbridge.Probe:
 		r.members.probe(from, m)
@@ -193,7 +194,9 @@
 	case *jackdawbridge.ProbeVia:
 		r.members.probeVia(from, m)
 	case *jackdawbridge.Members:
-		r.members.received(from, m)
+		if !r.authority.introduced(from, m) {
+			r.members.received(from, m)
+		}
 	case *jackdawbridge.Leave:
 		r.members.left(from)
 	case *jackdawbridge.Newer:
--- /dev/null
+++ b/reducer/reload.go
@@ -0,0 +1,87 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// reload takes the accounts of a new configuration, and lets quotas grow that
+// were held back.
+func (p *shares) reload() {
+	revision := p.r.settings.revision(jackdawbridge.ConfigTable)
+	if revision != p.revision {
+		p.replan(revision)
+	}
+	if !p.heldBack || p.r.now < p.settle {
+		return
+	}
+	p.settle = p.r.now + jackdawbridge.Second
+	p.heldBack = false
+	for _, name := range p.names {
+		pl := p.plans[name]
+		if pl.settle(p.r.now, p.r.self.DataCentre(), p.configs) {
+			p.r.fx.Log(jackdawbridge.PartShare, "quota grows").With(string(name), 0)
+			p.retune(name, pl)
+		}
+		p.heldBack = p.heldBack || pl.held
+	}
+}
+
+// replan compares the accounts of the configuration with the plans. An account
+// that is gone keeps an empty plan, since other nodes may still serve it.
+func (p *shares) replan(revision uint64) {
+	initial := p.revision == 0
+	p.revision = revision
+	p.behindSince = p.r.now
+	seen := make(map[jackdawbridge.AccountName]bool)
+	p.r.accounts(func(a *jackdawbridge.Account) {
+		seen[a.Name()] = true
+		pl, ok := p.plans[a.Name()]
+		if !ok {
+			pl = &plan{account: a, parts: divide(a)}
+			if !initial {
+				pl.changed = p.r.now
+			}
+			p.plans[a.Name()] = pl
+			p.names = append(p.names, a.Name())
+			return
+		}
+		if pl.account != a {
+			p.adjust(a.Name(), pl, a, divide(a), revision)
+		}
+	})
+	for _, name := range p.names {
+		if pl := p.plans[name]; !seen[name] && pl.account != nil {
+			p.adjust(name, pl, nil, nil, revision)
+		}
+	}
+	slices.Sort(p.names)
+}
+
+// adjust changes the plan of an account. Lots that were never asked for are
+// made first, so that they keep their level.
+func (p *shares) adjust(name jackdawbridge.AccountName, pl *plan, a *jackdawbridge.Account, parts []part, revision uint64) {
+	own := p.r.self.DataCentre()
+	if !slices.Equal(pl.parts, parts) {
+		for index := range pl.part(own).lots {
+			i := lotRange(name, index)
+			if since, ok := p.r.authority.holds(i); ok {
+				p.bucketOf(lot{name, index}, i, since)
+			}
+		}
+	}
+	pl.change(p.r.now, own, a, parts, revision)
+	p.heldBack = p.heldBack || pl.held
+	p.retune(name, pl)
+}
+
+// retune applies the quotas of a plan to the buckets of its account.
+func (p *shares) retune(name jackdawbridge.AccountName, pl *plan) {
+	own := p.r.self.DataCentre()
+	for l, b := range p.home.buckets {
+		if l.account == name {
+			b.retune(p.r.now, pl.quota(own, l.index))
+		}
+	}
+}
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -19,11 +19,15 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		h := newHarness()
 		h.check(t.Fatalf)
+		check := newChecker(h)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			out, err := h.command(d)
 			if err != nil {
 				d.Fatalf(t, "%v", err)
 			}
+			if check.broken != "" {
+				d.Fatalf(t, "%s", check.broken)
+			}
 			return out
 		})
 	})
@@ -55,6 +59,18 @@
 		return fmt.Sprint(h.nodes[arg(d, "node", "")].exited), nil
 	case "stop":
 		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewStopRequested(at) })
+	case "skew":
+		h.skews[arg(d, "node", "")] = jackdawbridge.Millis(number(d, "ms", 0))
+	case "home":
+		i := lotRange(jackdawbridge.AccountName(arg(d, "account", "")), number(d, "lot", 0))
+		for _, name := range h.order {
+			if n := h.nodes[name]; n.peer.DataCentre() == jackdawbridge.DataCentre(arg(d, "dc", "one")) && n.acts(i) {
+				return name, nil
+			}
+		}
+		return "none", nil
+	case "holders":
+		return h.holders(jackdawbridge.DataCentre(arg(d, "dc", "one"))), nil
 	case "kill":
 		for _, name := range h.matching(arg(d, "node", "")) {
 			h.kill(name)
@@ -95,6 +111,16 @@
 		return h.oldestConfirmation(), nil
 	case "revisions":
 		return h.revisions(arg(d, "node", "")), nil
+	case "drop":
+		for _, kind := range strings.Split(arg(d, "kind", ""), "+") {
+			h.drops[kind+" "+arg(d, "to", "")] = arg(d, "state", "on") == "on"
+		}
+	case "late":
+		for _, a := range h.matching(arg(d, "from", "")) {
+			for _, b := range h.matching(arg(d, "to", "")) {
+				h.delays[[2]string{a, b}] = jackdawbridge.Millis(number(d, "ms", 0))
+			}
+		}
 	case "store":
 		h.store.setDown(arg(d, "state", "up") == "down")
 		h.store.lose = number(d, "lose", 0)
@@ -107,6 +133,8 @@
 		h.run(jackdawbridge.Millis(number(d, "ms", 0)))
 	case "results":
 		return h.summary(), nil
+	case "forget-results":
+		clear(h.results)
 	case "executions":
 		return fmt.Sprint(len(h.executions)), nil
 	case "count":
--- /dev/null
+++ b/reducer/share_test.go
@@ -0,0 +1,148 @@
+package reducer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// arrival is one request of a measured pattern.
+type arrival struct {
+	at   jackdawbridge.Millis
+	node int
+}
+
+// poisson returns arrivals at a mean rate a second, spread over some nodes.
+func poisson(seed uint64, rate float64, span jackdawbridge.Millis, nodes ...int) []arrival {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var list []arrival
+	for at := random.ExpFloat64() * 1000 / rate; at < float64(span); at += random.ExpFloat64() * 1000 / rate {
+		list = append(list, arrival{jackdawbridge.Millis(at), nodes[random.IntN(len(nodes))]})
+	}
+	return list
+}
+
+// bursts returns count arrivals at once at each of some nodes in turn.
+func bursts(count int, every jackdawbridge.Millis, nodes ...int) []arrival {
+	var list []arrival
+	for i, node := range nodes {
+		for range count {
+			list = append(list, arrival{jackdawbridge.Millis(i) * every, node})
+		}
+	}
+	return list
+}
+
+// split counts what static buckets admit, one for each of n nodes. One node
+// stands for the oracle: a bucket for the whole fleet without any delay.
+func split(arrivals []arrival, n int, rate, burst int64) (admitted int) {
+	buckets := make([]bucket, n)
+	for i := range buckets {
+		buckets[i] = bucket{quota: quota{rate: rate * 1000 / int64(n), burst: burst / int64(n)}, level: burst / int64(n) * micro}
+	}
+	for _, a := range arrivals {
+		b := &buckets[a.node%n]
+		b.accrue(a.at)
+		if b.level >= micro {
+			b.level -= micro
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// measure counts what six nodes in two data centres admit, and their messages
+// about tokens.
+func measure(t *testing.T, arrivals []arrival, rate, burst int64) (admitted, messages int) {
+	h := newHarness()
+	check := newChecker(h)
+	h.afterStep = nil
+	config := fmt.Sprintf("account a %d %d one:500,two:500\nroute s / high idempotent\nkey a a", rate, burst)
+	if _, err := h.configure(config); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 6 {
+		var joins []string
+		for j := range i {
+			joins = append(joins, fmt.Sprint("n", j))
+		}
+		h.start(fmt.Sprint("n", i), []jackdawbridge.DataCentre{"one", "two"}[i/3], joins...)
+	}
+	h.run(20 * jackdawbridge.Second)
+	h.onSend = func(_, _ *fakeNode, frame jackdawbridge.Frame) linkFault {
+		switch frame.Message().(type) {
+		case *jackdawbridge.Ask, *jackdawbridge.Grant, *jackdawbridge.Deny, *jackdawbridge.Report:
+			messages++
+		}
+		return linkFault{}
+	}
+	for _, a := range arrivals {
+		h.after(a.at, func() {
+			h.call(fmt.Sprint("n", a.node), jackdawbridge.NewRequest("r", "s", "GET", "/", 1000).WithKey(keyHash("a")))
+		})
+	}
+	h.run(arrivals[len(arrivals)-1].at + jackdawbridge.Second)
+	if check.broken != "" {
+		t.Error(check.broken)
+	}
+	return check.meters["a"].count, messages
+}
+
+// TestWrongfulRefusals guards against refusals of requests that are inside the
+// account's rate over the fleet. They are counted as what the oracle admits in
+// excess. The bounds are those of the brief: never more than with a static split
+// per node, and at most 5% of what the oracle admits.
+func TestWrongfulRefusals(t *testing.T) {
+	const span = 20 * jackdawbridge.Second
+	patterns := []struct {
+		name        string
+		rate, burst int64
+		arrivals    []arrival
+	}{
+		{"all nodes, 95%", 300, 60, poisson(1, 285, span, 0, 1, 2, 3, 4, 5)},
+		{"one data centre, 95%", 300, 60, poisson(2, 285, span, 0, 1, 2)},
+		{"one node, 95%", 300, 60, poisson(3, 285, span, 4)},
+		{"all nodes, 150%", 300, 60, poisson(4, 450, span, 0, 1, 2, 3, 4, 5)},
+		{"one data centre, 150%", 300, 60, poisson(5, 450, span, 3, 4, 5)},
+		{"one node, 150%", 300, 60, poisson(6, 450, span, 0)},
+		{"bursts of 60", 300, 60, bursts(60, 5000, 0, 4, 1, 5, 2, 3)},
+		{"low rate, 95%", 20, 12, poisson(7, 19, 5*span, 0, 1, 2, 3, 4, 5)},
+		{"low rate, one node", 20, 12, poisson(8, 19, 5*span, 1)},
+		{"high rate, one data centre", 6000, 600, poisson(9, 5700, span/4, 0, 1, 2)},
+	}
+	var lines []string
+	for _, p := range patterns {
+		oracle, static := split(p.arrivals, 1, p.rate, p.burst), split(p.arrivals, 6, p.rate, p.burst)
+		ours, messages := measure(t, p.arrivals, p.rate, p.burst)
+		wrong, wrongStatic := max(oracle-ours, 0), oracle-static
+		lines = append(lines, fmt.Sprintf("%-26s requests %6d  oracle admits %6d  wrongful %5d (%.2f%%)  static split %5d (%.2f%%)  messages/request %.2f",
+			p.name, len(p.arrivals), oracle, wrong, 100*float64(wrong)/float64(oracle), wrongStatic, 100*float64(wrongStatic)/float64(oracle),
+			float64(messages)/float64(len(p.arrivals))))
+		if wrong > max(wrongStatic, 0) || wrong*20 > oracle {
+			t.Errorf("%s: %d wrongful refusals, %d with a static split, oracle admits %d", p.name, wrong, wrongStatic, oracle)
+		}
+	}
+	t.Log("\n" + strings.Join(lines, "\n"))
+}
+
+// TestTakeAllocatesNothing guards the call path against allocations when the
+// node has a token.
+func TestTakeAllocatesNothing(t *testing.T) {
+	h := newHarness()
+	if _, err := h.configure("account a 1 1000000 one:1000\nroute s / high idempotent\nkey a a"); err != nil {
+		t.Fatal(err)
+	}
+	h.start("a", "one")
+	h.run(5 * jackdawbridge.Second)
+	r := h.nodes["a"].reducer
+	var fx jackdawbridge.Effects
+	r.fx = &fx
+	w := r.shares.walletOf("a")
+	w.held = append(w.held, grant{id: 1, home: r.self, left: 1000000, expires: r.now + grantLife})
+	if n := testing.AllocsPerRun(1000, func() { r.shares.take(7, "a") }); n != 0 {
+		t.Errorf("take allocates %v times: want 0", n)
+	}
+}
--- /dev/null
+++ b/reducer/storm_test.go
@@ -0,0 +1,218 @@
+package reducer
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"pgregory.net/rapid"
+)
+
+// fewer lets a property test draw fewer cases than the usual 100, unless the
+// flag -rapid.checks asks for another number.
+func fewer(t *testing.T, checks string) {
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set(checks); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = f.Value.Set(f.DefValue) })
+	}
+}
+
+// storm draws faults for a few nodes in two data centres.
+type storm struct {
+	t      *rapid.T
+	h      *harness
+	names  []string
+	random *rand.Rand
+	drop   int // permille of messages
+	repeat int // permille of messages
+	late   int // longest delay of a message in ms
+	counts map[string]int
+}
+
+func newStorm(t *rapid.T) *storm {
+	s := &storm{
+		t: t, h: newHarness(), counts: make(map[string]int),
+		random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+	}
+	s.h.onSend = func(_, _ *fakeNode, _ jackdawbridge.Frame) linkFault {
+		return linkFault{
+			drop:   s.random.IntN(1000) < s.drop,
+			repeat: s.random.IntN(1000) < s.repeat,
+			delay:  jackdawbridge.Millis(s.random.IntN(s.late + 1)),
+		}
+	}
+	s.h.store.cut = make(map[string]bool)
+	count := rapid.IntRange(3, 8).Draw(t, "nodes")
+	for i := range count {
+		s.names = append(s.names, fmt.Sprintf("n%d", i))
+		s.h.skews[s.names[i]] = jackdawbridge.Millis(i) * 1000
+	}
+	return s
+}
+
+// dc returns the data centre of a node: two thirds are in the first.
+func (s *storm) dc(name string) jackdawbridge.DataCentre {
+	if int(name[1]-'0')%3 == 2 {
+		return "two"
+	}
+	return "one"
+}
+
+func (s *storm) start(name string) { s.h.start(name, s.dc(name), s.joins(name)...) }
+
+func (s *storm) joins(name string) []string {
+	var joins []string
+	for _, j := range s.names {
+		if j != name && s.h.nodes[j] != nil {
+			joins = append(joins, j)
+		}
+	}
+	return joins
+}
+
+func (s *storm) node(label string) string { return rapid.SampledFrom(s.names).Draw(s.t, label) }
+
+// fault draws one fault and applies it.
+func (s *storm) fault() {
+	kind := rapid.SampledFrom([]string{
+		"kill", "kill-refused", "restart", "freeze", "cut", "cut", "heal", "store-down", "store-up",
+		"shares", "store-cut", "store-heal", "lose", "slow", "drop", "repeat", "late", "calm", "stop", "refused",
+	}).Draw(s.t, "fault")
+	s.counts[kind]++
+	name, other := s.node("node"), s.node("other")
+	n := s.h.nodes[name]
+	switch kind {
+	case "kill":
+		s.h.kill(name)
+	case "kill-refused":
+		s.h.kill(name)
+		s.refuse(other, name)
+	case "refused":
+		s.refuse(other, name)
+	case "restart":
+		if n.alive {
+			s.h.kill(name)
+		}
+		s.start(name)
+	case "freeze":
+		if n.alive && !n.frozen {
+			s.h.freeze(name, jackdawbridge.Millis(rapid.IntRange(100, 15000).Draw(s.t, "freeze")))
+		}
+	case "cut":
+		s.h.cut(name, other, true)
+		if rapid.Bool().Draw(s.t, "both") {
+			s.h.cut(other, name, true)
+		}
+	case "heal":
+		clear(s.h.cuts)
+	case "store-down", "store-up":
+		s.h.store.setDown(kind == "store-down")
+	case "store-cut", "store-heal":
+		s.h.store.cut[name] = kind == "store-cut"
+	case "lose":
+		s.h.store.lose = rapid.IntRange(1, 3).Draw(s.t, "lose")
+	case "slow":
+		s.h.store.slow = jackdawbridge.Millis(rapid.IntRange(0, 3000).Draw(s.t, "slow"))
+	case "drop":
+		s.drop = rapid.IntRange(0, 500).Draw(s.t, "drop")
+	case "repeat":
+		s.repeat = rapid.IntRange(0, 500).Draw(s.t, "repeat")
+	case "late":
+		s.late = rapid.SampledFrom([]int{5, 50, 500, 5000, 20000}).Draw(s.t, "late")
+	case "calm":
+		s.drop, s.repeat, s.late = 0, 0, 0
+	case "shares":
+		s.configure(rapid.IntRange(1, 9).Draw(s.t, "share"))
+	case "stop":
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewStopRequested(at) })
+	}
+}
+
+// configure gives the first data centre the given tenths of each account.
+func (s *storm) configure(tenths int) {
+	config := "route svc / high idempotent\n"
+	for name, limits := range map[string]string{"big": "200 20", "odd": "50 3", "tiny": "5 1", "wide": "4000 400"} {
+		config += fmt.Sprintf("account %s %s one:%d,two:%d\nkey %s %s\n", name, limits, tenths*100, 1000-tenths*100, name, name)
+	}
+	if _, err := s.h.configure(config); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// traffic schedules requests over a span, mostly for a few nodes.
+func (s *storm) traffic(span jackdawbridge.Millis) {
+	for range s.random.IntN(60) {
+		name := s.names[min(s.random.IntN(len(s.names)), s.random.IntN(len(s.names)))]
+		key := []string{"big", "odd", "tiny", "wide"}[s.random.IntN(4)]
+		count := 1 + s.random.IntN(1+s.random.IntN(60))
+		s.h.after(jackdawbridge.Millis(s.random.Int64N(int64(span)+1)), func() {
+			for range count {
+				s.h.call(name, jackdawbridge.NewRequest("r", "svc", "GET", "/", 1000).WithKey(keyHash(key)))
+			}
+		})
+	}
+}
+
+// refuse tells a node that the host of a dead process refuses connections.
+func (s *storm) refuse(at, name string) {
+	if !s.h.nodes[name].alive {
+		s.h.refusals(at, name)
+	}
+}
+
+// calm ends all faults and starts a process wherever none is.
+func (s *storm) calm() {
+	s.drop, s.repeat, s.late = 0, 0, 0
+	clear(s.h.cuts)
+	clear(s.h.store.cut)
+	s.h.store.lose, s.h.store.slow = 0, 0
+	s.h.store.setDown(false)
+	for _, name := range s.names {
+		if n := s.h.nodes[name]; !n.alive {
+			s.start(name)
+		}
+	}
+}
+
+// TestStorm guards the exclusive use of ranges and the rate of accounts under
+// random faults and combinations of them.
+func TestStorm(t *testing.T) {
+	// 20 cases made the package's tests take 52 s with the race detector.
+	fewer(t, "10")
+	total := make(map[string]int)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStorm(t)
+		check := newChecker(s.h)
+		s.configure(5)
+		for _, name := range s.names {
+			s.start(name)
+		}
+		s.h.run(jackdawbridge.Millis(rapid.IntRange(0, 8000).Draw(t, "warm")))
+		for range rapid.IntRange(1, 25).Draw(t, "faults") {
+			s.fault()
+			pause := jackdawbridge.Millis(rapid.SampledFrom([]int{1, 3, 10, 100, 500, 1000, 3000, 8000}).Draw(t, "pause"))
+			s.traffic(pause)
+			s.h.run(pause)
+			if check.broken != "" {
+				t.Fatal(check.broken)
+			}
+		}
+		s.calm()
+		s.traffic(40 * jackdawbridge.Second)
+		s.h.run(40 * jackdawbridge.Second)
+		if check.broken != "" {
+			t.Fatal(check.broken)
+		}
+		for kind, n := range s.counts {
+			total[kind] += n
+		}
+		for name, m := range check.meters {
+			total["admitted "+string(name)] += m.count
+		}
+	})
+	t.Logf("faults: %v", total)
+}
--- /dev/null
+++ b/reducer/view.go
@@ -0,0 +1,58 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
+
+// located returns the live process of an instance, this node included.
+func (r *Reducer) located(instance jackdawbridge.Instance) (jackdawbridge.Peer, bool) {
+	if instance == r.self.Node().Instance() {
+		return r.self, true
+	}
+	m := r.members.find(instance)
+	if m == nil || !m.live() {
+		return jackdawbridge.Peer{}, false
+	}
+	return m.peer, true
+}
+
+// eligible returns the members of the own data centre that may hold ranges.
+func (r *Reducer) eligible() []jackdawbridge.Peer {
+	return slices.DeleteFunc(r.members.inDataCentre(r.self.DataCentre()), func(p jackdawbridge.Peer) bool {
+		return p.State() != jackdawbridge.PeerStarting && p.State() != jackdawbridge.PeerServing
+	})
+}
+
+// dataCentres returns the other data centres that are known.
+func (r *Reducer) dataCentres() []jackdawbridge.DataCentre {
+	var list []jackdawbridge.DataCentre
+	for _, g := range r.members.regions.list {
+		list = append(list, g.name)
+	}
+	return list
+}
+
+// drawForeigner returns a known member of another data centre, another one each
+// time and for each node.
+func (r *Reducer) drawForeigner(dc jackdawbridge.DataCentre) (jackdawbridge.Peer, bool) {
+	peers := r.members.inDataCentre(dc)
+	if len(peers) == 0 {
+		return jackdawbridge.Peer{}, false
+	}
+	draw := hashOf(string(r.self.Node().Instance()), uint64(r.now))
+	return peers[draw%uint64(len(peers))], true
+}
+
+// accounts calls visit for each client account of the configuration, in order.
+func (r *Reducer) accounts(visit func(*jackdawbridge.Account)) {
+	if r.settings.config.table == nil {
+		return
+	}
+	for _, e := range r.settings.config.table.Entries() {
+		if a := e.Account(); a != nil {
+			visit(a)
+		}
+	}
+}
