--- a/behaviour.go
+++ b/behaviour.go
@@ -84,13 +84,28 @@
 	latency  Millis
 	inFlight int // runs when this one began, itself included
 	dropped  bool
+	class    int // from 0 to MaxClass
 }
 
+// MaxClass is the greatest class of a Sample.
+const MaxClass = (int(Critical)+1)*(MaxDepth+1) - 1
+
 // NewSample returns the sample of a run. A dropped run ended by timeout or failure.
 func NewSample(latency Millis, inFlight int, dropped bool) Sample {
 	return Sample{latency: latency, inFlight: inFlight, dropped: dropped}
 }
 
+// WithClass returns s for a run of the given criticality and depth. Runs that
+// agree in both tend to do the same work, so a limiter can tell a change of
+// the mix from a change of the latency.
+func (s Sample) WithClass(criticality Criticality, depth int) Sample {
+	s.class = int(criticality)*(MaxDepth+1) + depth
+	return s
+}
+
+// Class returns the number of the run's criticality and depth.
+func (s Sample) Class() int { return s.class }
+
 // Latency returns how long the run took.
 func (s Sample) Latency() Millis { return s.latency }
 
--- /dev/null
+++ b/queue/priority.go
@@ -0,0 +1,371 @@
+package queue
+
+import (
+	"math/bits"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/heap"
+)
+
+const (
+	// maxFlows bounds the accounts and ranks that are told apart. Further
+	// accounts of a rank share one flow.
+	maxFlows = 256
+	// longestWait is how long a call may wait in a standing queue, for each step
+	// of criticality. A longer wait uses up the time that the calls further down
+	// the chain need. Critical calls wait until their deadline: with a limit of
+	// 600 to 1000 ms one node shed them while another admitted lesser calls.
+	longestWait = 100 * jackdawbridge.Millis(1)
+	// critical is the least rank of critical calls.
+	critical = int(jackdawbridge.Critical)*2 + 1
+)
+
+const (
+	ranks  = int(jackdawbridge.MaxRank) + 1
+	depths = jackdawbridge.MaxDepth + 1
+	none   = int32(-1)
+)
+
+// entry is a call in the slab of a Priority.
+type entry struct {
+	waiting    jackdawbridge.Waiting
+	flow       int32
+	prev, next int32 // in its flow and depth
+	older      int32 // in its rank, in the order of arrival
+	newer      int32
+}
+
+// list is a doubly linked list of entries.
+type list struct{ head, tail int32 }
+
+// flowKey names the calls of one account and rank.
+type flowKey struct {
+	account jackdawbridge.AccountName
+	rank    jackdawbridge.Level
+}
+
+// flow holds the waiting calls of one account and rank.
+type flow struct {
+	key    flowKey
+	served int64 // virtual time: calls served, raised to the rank's on return
+	length int
+	depths [depths]list
+	mask   uint16 // depths that have calls
+	shared bool   // stands for all accounts of the rank that have no own flow
+}
+
+// rankState holds the flows of a rank.
+type rankState struct {
+	active []int32 // flows with calls
+	served int64   // virtual time of the flow that was served last
+	oldest int32
+	newest int32
+}
+
+// Priority orders calls by rank, then by the fair share of their accounts,
+// then by depth, deeper first, then by arrival. It allocates nothing after a
+// warm-up.
+type Priority struct {
+	size      int
+	length    int // at most size
+	entries   []entry
+	free      []int32
+	index     map[jackdawbridge.CallID]int32
+	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
+	flows     []flow // the shared flow of each rank, then those of accounts
+	accounts  map[flowKey]int32
+	idle      []int32 // account flows without calls, reused first in, first out
+	ranks     [ranks]rankState
+	mask      uint16 // ranks that have calls
+	standing  standing
+}
+
+// NewPriority returns a queue for up to size calls.
+func NewPriority(size int) *Priority {
+	size = max(size, 1)
+	q := &Priority{
+		size: size, entries: make([]entry, size), free: make([]int32, 0, size),
+		index: make(map[jackdawbridge.CallID]int32, size), flows: make([]flow, 0, ranks+maxFlows),
+		accounts: make(map[flowKey]int32, maxFlows),
+	}
+	for i := range size {
+		q.free = append(q.free, int32(size-1-i))
+	}
+	for rank := range ranks {
+		q.ranks[rank].oldest, q.ranks[rank].newest = none, none
+		q.flows = append(q.flows, newFlow(flowKey{rank: jackdawbridge.Level(rank)}, true))
+	}
+	return q
+}
+
+func newFlow(key flowKey, shared bool) flow {
+	f := flow{key: key, shared: shared}
+	for i := range f.depths {
+		f.depths[i] = list{none, none}
+	}
+	return f
+}
+
+// Push adds a call. When the queue is full it sheds the least important one:
+// of the lowest rank, of the account with the most calls, the shallowest and
+// newest.
+func (q *Priority) Push(at jackdawbridge.Millis, w jackdawbridge.Waiting) (jackdawbridge.Waiting, bool) {
+	q.standing.roll(at, q.length)
+	var shed jackdawbridge.Waiting
+	full := q.length >= q.size
+	if full {
+		i := q.least(w)
+		if i == none {
+			return w, true
+		}
+		shed = q.entries[i].waiting
+		q.remove(i)
+	}
+	q.add(w)
+	return shed, full
+}
+
+// least returns the entry to shed for a new call, or none if the call is
+// itself the least important.
+func (q *Priority) least(w jackdawbridge.Waiting) int32 {
+	lowest := jackdawbridge.Level(bits.TrailingZeros16(q.mask))
+	if w.Rank() < lowest {
+		return none
+	}
+	longest, length := none, 0
+	for _, f := range q.ranks[lowest].active {
+		n := q.flows[f].length
+		if w.Rank() == lowest && q.flows[f].key.account == w.Account() {
+			n++
+		}
+		if n > length {
+			longest, length = f, n
+		}
+	}
+	f := &q.flows[longest]
+	shallowest := bits.TrailingZeros16(f.mask)
+	if w.Rank() == lowest && f.key.account == w.Account() && w.Depth() <= shallowest {
+		return none
+	}
+	return f.depths[shallowest].tail
+}
+
+// flowOf returns the flow for a call.
+func (q *Priority) flowOf(w jackdawbridge.Waiting) int32 {
+	key := flowKey{w.Account(), w.Rank()}
+	if f, ok := q.accounts[key]; ok {
+		return f
+	}
+	switch {
+	case len(q.flows) < cap(q.flows):
+		q.flows = append(q.flows, newFlow(key, false))
+		f := int32(len(q.flows) - 1)
+		q.accounts[key] = f
+		return f
+	case len(q.idle) > 0:
+		f := q.reuse()
+		if f == none {
+			break
+		}
+		delete(q.accounts, q.flows[f].key)
+		q.flows[f].key, q.flows[f].served = key, 0
+		q.accounts[key] = f
+		return f
+	}
+	return int32(w.Rank())
+}
+
+// reuse takes a flow without calls, or none.
+func (q *Priority) reuse() int32 {
+	for len(q.idle) > 0 {
+		f := q.idle[len(q.idle)-1]
+		q.idle = q.idle[:len(q.idle)-1]
+		if q.flows[f].length == 0 {
+			return f
+		}
+	}
+	return none
+}
+
+// add puts a call into its flow.
+func (q *Priority) add(w jackdawbridge.Waiting) {
+	i := q.free[len(q.free)-1]
+	q.free = q.free[:len(q.free)-1]
+	n := q.flowOf(w)
+	f, rank := &q.flows[n], &q.ranks[w.Rank()]
+	if f.length == 0 {
+		// An account that was away gets no credit for that time.
+		f.served = max(f.served, rank.served)
+		rank.active = append(rank.active, n)
+		q.mask |= 1 << w.Rank()
+	}
+	f.length++
+	d := &f.depths[w.Depth()]
+	q.entries[i] = entry{waiting: w, flow: n, prev: d.tail, next: none, older: rank.newest, newer: none}
+	if d.tail == none {
+		d.head = i
+		f.mask |= 1 << w.Depth()
+	} else {
+		q.entries[d.tail].next = i
+	}
+	d.tail = i
+	if rank.newest == none {
+		rank.oldest = i
+	} else {
+		q.entries[rank.newest].newer = i
+	}
+	rank.newest = i
+	q.index[w.Call()] = i
+	q.deadlines.Set(w.Call(), w.Deadline())
+	q.length++
+}
+
+// remove takes an entry out of its flow.
+func (q *Priority) remove(i int32) {
+	e := &q.entries[i]
+	w := e.waiting
+	f := &q.flows[e.flow]
+	d := &f.depths[w.Depth()]
+	q.unlink(i, d)
+	if d.head == none {
+		f.mask &^= 1 << w.Depth()
+	}
+	f.length--
+	if f.length == 0 {
+		q.rest(e.flow, w.Rank())
+	}
+	delete(q.index, w.Call())
+	q.deadlines.Remove(w.Call())
+	*e = entry{}
+	q.free = append(q.free, i)
+	q.length--
+	if q.length == 0 {
+		q.standing.empty = true
+	}
+}
+
+// unlink takes an entry out of its two lists.
+func (q *Priority) unlink(i int32, d *list) {
+	e := &q.entries[i]
+	rank := &q.ranks[e.waiting.Rank()]
+	if e.prev == none {
+		d.head = e.next
+	} else {
+		q.entries[e.prev].next = e.next
+	}
+	if e.next == none {
+		d.tail = e.prev
+	} else {
+		q.entries[e.next].prev = e.prev
+	}
+	if e.older == none {
+		rank.oldest = e.newer
+	} else {
+		q.entries[e.older].newer = e.newer
+	}
+	if e.newer == none {
+		rank.newest = e.older
+	} else {
+		q.entries[e.newer].older = e.older
+	}
+}
+
+// rest takes a flow without calls out of its rank.
+func (q *Priority) rest(n int32, rank jackdawbridge.Level) {
+	r := &q.ranks[rank]
+	for j, other := range r.active {
+		if other == n {
+			last := len(r.active) - 1
+			r.active[j] = r.active[last]
+			r.active = r.active[:last]
+			break
+		}
+	}
+	if len(r.active) == 0 {
+		q.mask &^= 1 << rank
+	}
+	if !q.flows[n].shared && len(q.idle) < maxFlows {
+		q.idle = append(q.idle, n)
+	}
+}
+
+// Pop removes and returns the most important call.
+func (q *Priority) Pop(at jackdawbridge.Millis) (jackdawbridge.Waiting, bool) {
+	q.standing.roll(at, q.length)
+	if q.length == 0 {
+		return jackdawbridge.Waiting{}, false
+	}
+	rank := bits.Len16(q.mask) - 1
+	r := &q.ranks[rank]
+	best := r.active[0]
+	for _, f := range r.active[1:] {
+		if q.flows[f].served < q.flows[best].served {
+			best = f
+		}
+	}
+	f := &q.flows[best]
+	r.served = f.served
+	f.served++
+	i := f.depths[bits.Len16(f.mask)-1].head
+	w := q.entries[i].waiting
+	q.remove(i)
+	q.standing.admitted(w.Rank())
+	return w, true
+}
+
+// Expire removes and returns a call that cannot meet its deadline any more if
+// a run takes as long as need, or that has waited too long in a standing queue.
+func (q *Priority) Expire(at, need jackdawbridge.Millis) (jackdawbridge.Waiting, bool) {
+	q.standing.roll(at, q.length)
+	if q.length == 0 {
+		return jackdawbridge.Waiting{}, false
+	}
+	if call, deadline, _ := q.deadlines.Min(); deadline-at < need {
+		return q.take(q.index[call]), true
+	}
+	if !q.standing.on {
+		return jackdawbridge.Waiting{}, false
+	}
+	for mask := q.mask; mask != 0; mask &= mask - 1 {
+		rank := bits.TrailingZeros16(mask)
+		if rank >= critical {
+			break
+		}
+		oldest := q.ranks[rank].oldest
+		if at-q.entries[oldest].waiting.Arrived() > patience(rank) {
+			return q.take(oldest), true
+		}
+	}
+	return jackdawbridge.Waiting{}, false
+}
+
+// patience returns how long a call of a rank below critical may wait in a
+// standing queue. Paid priority waits as long as the next criticality.
+func patience(rank int) jackdawbridge.Millis {
+	return longestWait * jackdawbridge.Millis(rank/2+1)
+}
+
+func (q *Priority) take(i int32) jackdawbridge.Waiting {
+	w := q.entries[i].waiting
+	q.remove(i)
+	return w
+}
+
+// Remove removes a call and reports whether it was waiting.
+func (q *Priority) Remove(call jackdawbridge.CallID) bool {
+	i, ok := q.index[call]
+	if ok {
+		q.remove(i)
+	}
+	return ok
+}
+
+// Len returns how many calls wait.
+func (q *Priority) Len() int { return q.length }
+
+// Level returns the least rank that was admitted lately if the queue stands,
+// and 0 if it does not.
+func (q *Priority) Level(at jackdawbridge.Millis) jackdawbridge.Level {
+	q.standing.roll(at, q.length)
+	return q.standing.level()
+}
