--- a/reducer/call.go
+++ b/reducer/call.go
@@ -19,6 +19,7 @@
 	stageToken    stage = iota // waits for a token of its client account
 	stageOnce                  // waits for the home of its idempotency key
 	stageForward               // an attempt is out
+	stagePause                 // waits before a retry
 	stageAnswered              // the answer is being passed on
 )
 
@@ -36,6 +37,9 @@
 	given     int                  // retries given to the attempt in progress
 	parent    jackdawbridge.CallID // run whose token the request carried
 	child     bool                 // parent is set
+	next      *call                // of the same run
+	previous  *call                // of the same run
+	route     *jackdawbridge.Route // that covers the request
 	begun     bool                 // the start is recorded at the home of the idempotency key
 	doubtful  bool                 // an attempt may have run
 	status    int                  // of the answer that is passed on
@@ -45,12 +49,14 @@
 type calls struct {
 	r         *Reducer
 	active    map[jackdawbridge.CallID]*call // at most maxCalls
+	retries   int                            // allowance of a caller's request
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
+	pauses    heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free      *pool.Pool[call]
 }
 
 func newCalls(r *Reducer) calls {
-	return calls{r: r, active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
+	return calls{r: r, retries: retryAllowance, active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
 }
 
 // arrive checks a request and starts it on its way.
@@ -86,6 +92,7 @@
 	if route == nil {
 		return jackdawbridge.UnknownRoute
 	}
+	c.route = route
 	if c.request.Token() != (jackdawbridge.Token{}) {
 		return p.identifyChild(c, route)
 	}
@@ -93,7 +100,7 @@
 	if reason != jackdawbridge.NoReason {
 		return reason
 	}
-	c.allowance = retryAllowance
+	c.allowance = p.retries
 	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, c.request.Service(), route.Criticality(), c.request.Budget()).
 		WithBought(bought).
 		WithIdempotent(route.Idempotent())
@@ -113,6 +120,7 @@
 	c.child = true
 	c.parent = parent.id
 	c.allowance = parent.lend()
+	p.r.runs.attach(parent, c)
 	c.deadline = min(c.deadline, parent.deadline)
 	p.deadlines.Set(c.id, c.deadline)
 	c.envelope = parent.envelope.
@@ -134,8 +142,8 @@
 		p.start(c)
 		return
 	}
-	if p.r.routes.sheds(c.envelope) {
-		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded))
+	if p.sheds(c) {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
 	if c.envelope.Account() == "" {
@@ -188,7 +196,7 @@
 
 // forward sends the next attempt to an upstream.
 func (p *calls) forward(c *call) {
-	target, ok := p.r.routes.pick(c.envelope.Service(), c.target)
+	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
 	if !ok {
 		p.refuse(c, p.failure(c, jackdawbridge.NoUpstream))
 		return
@@ -212,7 +220,7 @@
 		return
 	}
 	p.r.routes.ended(c.target, p.r.now-c.sent, e.Outcome(), e.Reason())
-	p.r.routes.learn(c.target, c.envelope.Service(), e.Level())
+	p.learn(c, e.Level())
 	if e.Refused() {
 		p.r.members.refused(c.target)
 	}
@@ -225,10 +233,8 @@
 		return
 	}
 	c.doubtful = c.doubtful || e.Outcome() == jackdawbridge.Unknown
-	if mayRetry(c, e.Outcome()) && c.deadline > p.r.now {
-		c.allowance--
-		p.r.fx.Log(jackdawbridge.PartRetry, "retries, retries left").About(c.request.ID(), c.target).With(e.Reason().String(), int64(c.allowance))
-		p.forward(c)
+	if p.mayRetry(c, e.Outcome(), e.Reason()) {
+		p.retry(c, e.Reason())
 		return
 	}
 	p.refuse(c, p.failure(c, e.Reason()))
@@ -293,24 +299,33 @@
 	if c.stage == stageOnce || c.begun {
 		p.r.once.end(c.request.ID(), c.envelope.Account(), c.request.Idempotency(), outcome, c.status)
 	}
+	if c.stage == stagePause {
+		p.pauses.Remove(c.id)
+	}
 	if c.child {
-		p.r.runs.giveBack(c.parent, c.allowance)
+		p.r.runs.detach(c)
 	}
 	delete(p.active, c.id)
 	p.deadlines.Remove(c.id)
 	p.free.Put(c)
 }
 
-// wake returns the next deadline of a call.
+// wake returns the next deadline of a call, or the end of a pause.
 func (p *calls) wake() jackdawbridge.Millis {
+	next := never
 	if _, at, ok := p.deadlines.Min(); ok {
-		return at
+		next = at
+	}
+	if _, at, ok := p.pauses.Min(); ok {
+		next = min(next, at)
 	}
-	return never
+	return next
 }
 
-// tick ends the calls whose deadline has passed.
+// tick ends the calls whose deadline has passed, and goes on with those whose
+// pause is over.
 func (p *calls) tick() {
+	defer p.resume()
 	for {
 		id, ok := p.deadlines.PopUntil(p.r.now)
 		if !ok {
@@ -320,6 +335,17 @@
 	}
 }
 
+// orphan ends a call whose run has ended.
+func (p *calls) orphan(c *call) {
+	answered := c.stage == stageAnswered
+	p.abandon(c)
+	if answered {
+		p.end(c, jackdawbridge.Unknown)
+		return
+	}
+	p.refuse(c, p.failure(c, jackdawbridge.Cancelled))
+}
+
 // timeout ends a call whose deadline has passed. An answer that is being
 // passed on breaks.
 func (p *calls) timeout(c *call) {
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -62,6 +63,7 @@
 	served  bool
 	status  int
 	refusal jackdawbridge.Refusal
+	request jackdawbridge.RequestID
 }
 
 // fakeRun ties a run at an upstream's node to the attempt that caused it.
@@ -70,6 +72,8 @@
 	call     jackdawbridge.CallID
 	attempt  int
 	envelope jackdawbridge.Envelope
+	request  *jackdawbridge.Request
+	status   int  // of the answer
 	ended    bool // the backend server ended or abandoned it
 }
 
@@ -81,12 +85,18 @@
 	reducer  *Reducer
 	fx       jackdawbridge.Effects
 	alive    bool
+	started  jackdawbridge.Millis
 	frozen   bool
 	held     []func(at jackdawbridge.Millis) jackdawbridge.Event // arrived while frozen
 	wake     jackdawbridge.Millis                                // of the scheduled tick, 0 if none
 	service  jackdawbridge.Millis                                // time that a run takes
 	requests map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs     map[jackdawbridge.CallID]*fakeRun
+	attempts map[fakeAttempt]fakeTarget
+	backend  *fakeBackend         // nil for one that answers each run after service
+	status   int                  // of the last answer that arrived
+	alone    string               // path whose requests must run alone
+	passing  jackdawbridge.Millis // time that a run's answer takes to be passed on
 	exited   bool
 	crashes  int // of the backend server
 	loads    int // calls to the platform
@@ -116,6 +126,11 @@
 	trace      []string
 	config     []jackdawbridge.Entry
 	keys       []jackdawbridge.Entry
+	strategies func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue)
+	quiet      bool // no trace, no executions, and results go to onResult only
+	onResult   func(n *fakeNode, call jackdawbridge.CallID, end result)
+	onForward  func(*fakeNode, *jackdawbridge.Forward)
+	onRun      func(*fakeNode, jackdawbridge.CallID, jackdawbridge.Token) bool // true if it plays the backend server
 }
 
 // linkFault tells what the link does to a frame.
@@ -131,6 +146,9 @@
 		published: make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
 		previous:  make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
 		results:   make(map[jackdawbridge.RequestID]result),
+		strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+			return picker.NewTwoChoices(), limiter.NewAdaptive(1), queue.NewPriority(64)
+		},
 	}
 	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
 	return h
@@ -170,15 +188,17 @@
 	for _, j := range joins {
 		peers = append(peers, h.nodes[j].peer)
 	}
-	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(64))
+	pick, limit, wait := h.strategies()
+	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), pick, limit, wait)
 	r, err := New(h.now, options.WithJoins(peers))
 	if err != nil {
 		panic(err)
 	}
 	n := &fakeNode{
-		name: name, h: h, peer: peer, reducer: r, alive: true, service: 5,
+		name: name, h: h, peer: peer, reducer: r, alive: true, started: h.now, service: 5,
 		requests: make(map[jackdawbridge.CallID]*jackdawbridge.Request),
 		runs:     make(map[jackdawbridge.CallID]*fakeRun),
+		attempts: make(map[fakeAttempt]fakeTarget),
 	}
 	h.nodes[name] = n
 	h.disturbed = h.now
@@ -245,6 +265,9 @@
 		n.loads++
 		n.h.store.swap(n, e.Name(), e.Version(), e.Value(), e.Lease())
 	case *jackdawbridge.Log:
+		if n.h.quiet {
+			return
+		}
 		n.h.trace = append(n.h.trace, n.line(e))
 	case *jackdawbridge.Exit:
 		n.exited = true
@@ -308,17 +331,24 @@
 	h.nodes[at].arrive(request)
 }
 
-func (n *fakeNode) arrive(request *jackdawbridge.Request) {
+func (n *fakeNode) arrive(request *jackdawbridge.Request) jackdawbridge.CallID {
 	n.h.nextCall++
 	id := n.h.nextCall
 	n.requests[id] = request
 	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
 		return jackdawbridge.NewCallArrived(at, id, request)
 	})
+	return id
 }
 
 func (n *fakeNode) forward(e *jackdawbridge.Forward) {
 	call, attempt, envelope := e.Call(), e.Attempt(), e.Envelope()
+	if n.h.onForward != nil {
+		n.h.onForward(n, e)
+	}
+	if request := n.requests[call]; n.alone != "" && request.Path() == n.alone {
+		envelope = envelope.WithFingerprint(envelope.Fingerprint(), true)
+	}
 	target := n.h.byNode(e.Target().Node())
 	if target == nil || !target.alive {
 		n.h.after(linkDelay, func() {
@@ -334,7 +364,8 @@
 	}
 	n.h.nextCall++
 	id := n.h.nextCall
-	target.runs[id] = &fakeRun{origin: n, call: call, attempt: attempt, envelope: envelope}
+	target.runs[id] = &fakeRun{origin: n, call: call, attempt: attempt, envelope: envelope, request: n.requests[call], status: 200}
+	n.attempts[fakeAttempt{call, attempt}] = fakeTarget{target, id}
 	n.h.after(linkDelay, func() {
 		target.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
 			return jackdawbridge.NewForwardArrived(at, id, envelope)
@@ -343,88 +374,19 @@
 }
 
 func (n *fakeNode) failed(call jackdawbridge.CallID, attempt int, refusal jackdawbridge.Refusal, level jackdawbridge.Level, unused int, refused bool) {
+	delete(n.attempts, fakeAttempt{call, attempt})
 	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
 		return jackdawbridge.NewAttemptFailed(at, call, attempt, refusal, level, unused, refused)
 	})
 }
 
-func (n *fakeNode) run(e *jackdawbridge.Run) {
-	id := e.Call()
-	u := n.runs[id]
-	request := u.origin.requests[u.call]
-	n.h.executions = append(n.h.executions, execution{
-		at: n.h.now, node: n.name, request: u.envelope.ID(), account: u.envelope.Account(),
-		idempotency: request.Idempotency(), idempotent: u.envelope.Idempotent(),
-	})
-	n.h.after(n.service, func() {
-		if u.ended || !n.alive {
-			return
-		}
-		if strings.Contains(request.Path(), "poison") {
-			n.crash()
-			return
-		}
-		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewRunAnswered(at, id, 200) })
-	})
-}
-
-func (n *fakeNode) deliver(e *jackdawbridge.Deliver) {
-	if u, ok := n.runs[e.Call()]; ok {
-		id, level, unused := e.Call(), e.Level(), e.Unused()
-		u.ended = true
-		n.h.after(linkDelay, func() {
-			u.origin.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-				return jackdawbridge.NewAttemptAnswered(at, u.call, u.attempt, 200, level, unused)
-			})
-		})
-		n.h.after(0, func() {
-			n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-				return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Served, 200)
-			})
-		})
-		return
-	}
-	id := e.Call()
-	n.h.results[n.requests[id].ID()] = result{at: n.h.now, served: true, status: 200}
-	n.h.after(0, func() {
-		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallFinished(at, id, true) })
-	})
-}
-
-func (n *fakeNode) refuse(e *jackdawbridge.Refuse) {
-	if u, ok := n.runs[e.Call()]; ok {
-		u.ended = true
-		refusal, level, unused := e.Refusal(), e.Level(), e.Unused()
-		n.h.after(linkDelay, func() { u.origin.failed(u.call, u.attempt, refusal, level, unused, false) })
-		return
-	}
-	n.h.results[n.requests[e.Call()].ID()] = result{at: n.h.now, refusal: e.Refusal()}
-}
-
-func (n *fakeNode) cancel(e *jackdawbridge.Cancel) {
-	if u, ok := n.runs[e.Call()]; ok {
-		u.ended = true
-		return
-	}
-	for _, name := range n.h.order {
-		other := n.h.nodes[name]
-		for id, u := range other.runs {
-			if u.origin != n || u.call != e.Call() || u.attempt != e.Attempt() {
-				continue
-			}
-			n.h.after(linkDelay, func() {
-				other.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallCancelled(at, id) })
-			})
-		}
-	}
-}
-
 // kill ends a process. Attempts that it ran fail as unknown at their entry.
 func (h *harness) kill(name string) {
 	n := h.nodes[name]
 	h.disturbed = h.now
 	n.alive = false
-	for _, u := range n.runs {
+	for _, id := range slices.Sorted(maps.Keys(n.runs)) {
+		u := n.runs[id]
 		if u.ended {
 			continue
 		}
--- /dev/null
+++ b/reducer/level.go
@@ -0,0 +1,78 @@
+package reducer
+
+import "github.com/jackdawbridge/jackdawbridge"
+
+const (
+	// maxLevels bounds the routes whose level is known.
+	maxLevels = 4096
+	// levelShift makes one answer count for 1/8 of the learned level.
+	levelShift = 3
+	// levelUnit is one rank in the learned level.
+	levelUnit = 256
+	// levelGrace is how long a learned level holds without an answer, and
+	// levelDecay the time in which it then falls by one rank. Without a fall a
+	// service whose requests are all shed would never be tried again.
+	levelGrace = 200 * jackdawbridge.Millis(1)
+	levelDecay = 100 * jackdawbridge.Millis(1)
+	// shedRetryAfter is what a caller is told that is shed at the entry.
+	shedRetryAfter = jackdawbridge.Second
+)
+
+// criticalRank is the least rank of critical requests.
+const criticalRank = jackdawbridge.Level(jackdawbridge.Critical)*2 + 1
+
+// levelKey names a route. The requests of a route make the same calls below,
+// and so need the same services to have room.
+type levelKey struct {
+	service jackdawbridge.ServiceName
+	prefix  string
+}
+
+// learnedLevel is the admission level of a route: that of the service and of
+// the services that it calls.
+type learnedLevel struct {
+	level int // smoothed, in levelUnit
+	at    jackdawbridge.Millis
+}
+
+// learn takes note of the admission level that came with an answer.
+func (p *routes) learn(node jackdawbridge.Node, key levelKey, level jackdawbridge.Level) {
+	if o, ok := p.seen[node]; ok {
+		o.level, o.levelAt = level, p.r.now
+	}
+	l, ok := p.levels[key]
+	if !ok {
+		if len(p.levels) >= maxLevels {
+			clear(p.levels) // of routes that were removed; the others are learned again
+		}
+		l = &learnedLevel{}
+		p.levels[key] = l
+	}
+	l.level = l.current(p.r.now)
+	l.level += (int(level)*levelUnit - l.level) >> levelShift
+	l.at = p.r.now
+}
+
+// current returns the level after its decay.
+func (l *learnedLevel) current(now jackdawbridge.Millis) int {
+	silent := max(now-l.at-levelGrace, 0)
+	return max(l.level-int(min(silent, 10*jackdawbridge.Second)*levelUnit/levelDecay), 0)
+}
+
+// paidLead is how many ranks a request with paid priority may be below the
+// learned level. The nodes learn a level at different times, so the upstream's
+// queue decides about such a request.
+const paidLead = 4
+
+// sheds reports whether a request is below the admission level of its route.
+// Paid priority does not keep a request where critical ones are shed.
+func (p *routes) sheds(key levelKey, rank jackdawbridge.Level, paid bool) bool {
+	l, ok := p.levels[key]
+	if !ok {
+		return false
+	}
+	if paid && rank < criticalRank {
+		rank = min(rank+paidLead, criticalRank-1)
+	}
+	return int(rank) < l.current(p.r.now)/levelUnit
+}
--- /dev/null
+++ b/reducer/policy_test.go
@@ -0,0 +1,302 @@
+package reducer
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/limiter"
+	"github.com/jackdawbridge/jackdawbridge/picker"
+	"github.com/jackdawbridge/jackdawbridge/queue"
+)
+
+// The windows of a policy case.
+const (
+	warmUp       = 5 * jackdawbridge.Second
+	triggerStart = warmUp + 3*jackdawbridge.Second
+	triggerEnd   = triggerStart + 6*jackdawbridge.Second
+	caseEnd      = triggerEnd + 8*jackdawbridge.Second
+	bucketSpan   = 250 * jackdawbridge.Millis(1)
+	buckets      = int(caseEnd / bucketSpan)
+)
+
+// policy is one way to run the nodes of a case.
+type policy struct {
+	name       string
+	strategies func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue)
+	naive      bool // no retry allowance, 3 attempts at every hop
+}
+
+// unlimited is the limiter of nodes without control.
+type unlimited struct{}
+
+func (unlimited) Limit() int                                         { return 1 << 20 }
+func (unlimited) Observe(jackdawbridge.Millis, jackdawbridge.Sample) {}
+func (unlimited) Resize(int)                                         {}
+
+var policies = []policy{
+	{name: "none", strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+		return picker.NewTwoChoices(), unlimited{}, queue.NewFIFO(1 << 20)
+	}},
+	{name: "static", strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+		return picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(64)
+	}},
+	{name: "fifo", naive: true, strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+		return picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(1 << 20)
+	}},
+	{name: "adaptive", strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+		return picker.NewTwoChoices(), limiter.NewAdaptive(1), queue.NewPriority(256)
+	}},
+}
+
+// TestPolicies runs each deployment's cases under every policy in virtual time
+// and compares the figures with those of the file. It guards against a change
+// of policy that loses goodput, starves an account or sheds critical requests.
+func TestPolicies(t *testing.T) {
+	paths, err := filepath.Glob("testdata/policy/*")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no cases: %v", err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			t.Parallel()
+			var top *topology
+			var missed []string
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				if d.Cmd == "topology" {
+					top = readTopology(t, d)
+					return fmt.Sprintf("capacity %.0f requests/s\n", top.capacity)
+				}
+				if raceEnabled && arg(d, "trigger", "") != "surge" {
+					return d.Expected // the race detector needs one case only
+				}
+				return runCase(top, d, func(text string) { missed = append(missed, text) })
+			})
+			for _, text := range missed {
+				t.Error(text)
+			}
+		})
+	}
+}
+
+// kind is a kind of request.
+type kind struct {
+	name        string
+	criticality jackdawbridge.Criticality
+	mix         float64
+	idempotent  bool
+	hops        []hop
+}
+
+func (k *kind) weight() float64 { return float64(int(1) << k.criticality) }
+
+// occupancy returns how long a request of the kind holds a slot of a service.
+func (k *kind) occupancy(service jackdawbridge.ServiceName, slow map[jackdawbridge.ServiceName]float64) float64 {
+	below, total := 0.0, 0.0
+	for i := len(k.hops) - 1; i >= 0; i-- {
+		factor := 1.0
+		if f, ok := slow[k.hops[i].service]; ok {
+			factor = f
+		}
+		below += float64(k.hops[i].work) * factor
+		if i < len(k.hops)-1 {
+			below += 2 * float64(linkDelay)
+		}
+		if k.hops[i].service == service {
+			total += below
+		}
+	}
+	return total
+}
+
+type serviceSize struct {
+	name                    jackdawbridge.ServiceName
+	upstreams, slots, conns int
+}
+
+type accountSize struct {
+	name  jackdawbridge.AccountName
+	share float64 // of all requests
+	paid  bool
+}
+
+// topology is a deployment.
+type topology struct {
+	dcs      int
+	client   jackdawbridge.Millis // one way
+	deadline jackdawbridge.Millis
+	services []serviceSize
+	accounts []accountSize
+	kinds    []*kind
+	capacity float64 // requests a second that the first full service allows
+}
+
+func (t *topology) slots(service jackdawbridge.ServiceName) float64 {
+	for _, s := range t.services {
+		if s.name == service {
+			return float64(s.upstreams * s.slots)
+		}
+	}
+	return 0
+}
+
+// readTopology reads a deployment, one item a line:
+//
+//	service NAME UPSTREAMS SLOTS CONNECTIONS
+//	account NAME PERCENT [paid]
+//	kind NAME CRITICALITY PERCENT idempotent|once SERVICE:MS>SERVICE:MS...
+func readTopology(t *testing.T, d *datadriven.TestData) *topology {
+	top := &topology{
+		dcs: number(d, "dcs", 1), client: jackdawbridge.Millis(number(d, "client", 1)),
+		deadline: jackdawbridge.Millis(number(d, "deadline", 2000)),
+	}
+	integer := func(s string) int {
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			d.Fatalf(t, "%v", err)
+		}
+		return n
+	}
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		f := strings.Fields(line)
+		switch f[0] {
+		case "service":
+			top.services = append(top.services, serviceSize{jackdawbridge.ServiceName(f[1]), integer(f[2]), integer(f[3]), integer(f[4])})
+		case "account":
+			top.accounts = append(top.accounts, accountSize{jackdawbridge.AccountName(f[1]), float64(integer(f[2])) / 100, slices.Contains(f, "paid")})
+		case "kind":
+			c, err := jackdawbridge.ParseCriticality(f[2])
+			if err != nil {
+				d.Fatalf(t, "%v", err)
+			}
+			k := &kind{name: f[1], criticality: c, mix: float64(integer(f[3])) / 100, idempotent: f[4] == "idempotent"}
+			for _, part := range strings.Split(f[5], ">") {
+				service, ms, _ := strings.Cut(part, ":")
+				k.hops = append(k.hops, hop{jackdawbridge.ServiceName(service), jackdawbridge.Millis(integer(ms))})
+			}
+			top.kinds = append(top.kinds, k)
+		}
+	}
+	for _, s := range top.services {
+		need := 0.0
+		for _, k := range top.kinds {
+			need += k.mix * k.occupancy(s.name, nil)
+		}
+		if c := top.slots(s.name) * 1000 / need; need > 0 && (top.capacity == 0 || c < top.capacity) {
+			top.capacity = c
+		}
+	}
+	return top
+}
+
+// trigger is what happens to a deployment in a case.
+type trigger struct {
+	name    string
+	load    float64 // of the capacity, outside the trigger
+	surge   float64 // of the capacity, in the trigger
+	service jackdawbridge.ServiceName
+	factor  float64 // by which the service slows, or the account's demand rises
+	account jackdawbridge.AccountName
+	retries int // of clients, in the trigger
+	slots   float64
+}
+
+func readTrigger(d *datadriven.TestData) trigger {
+	decimal := func(name string, fallback float64) float64 {
+		v, err := strconv.ParseFloat(arg(d, name, ""), 64)
+		if err != nil {
+			return fallback
+		}
+		return v
+	}
+	g := trigger{
+		name: arg(d, "trigger", ""), load: decimal("load", 0.7), factor: decimal("factor", 1),
+		service: jackdawbridge.ServiceName(arg(d, "service", "")), account: jackdawbridge.AccountName(arg(d, "account", "")),
+		retries: number(d, "retries", 0), slots: decimal("slots", 1),
+	}
+	g.surge = decimal("surge", g.load)
+	return g
+}
+
+// demand returns the requests a second of an account and a kind at a time
+// since the start.
+func (g trigger) demand(top *topology, a accountSize, k *kind, at jackdawbridge.Millis) float64 {
+	load := g.load
+	during := at >= triggerStart && at < triggerEnd
+	if during {
+		load = g.surge
+	}
+	rate := top.capacity * load * a.share * k.mix
+	if g.name == "account" && a.name == g.account && during {
+		rate *= g.factor
+	}
+	// The account wakes in the middle of the overload.
+	if g.name == "idle" && a.name == g.account && (at < (triggerStart+triggerEnd)/2 || at >= triggerEnd) {
+		rate = 0
+	}
+	return rate
+}
+
+// oracle returns the weight a second that can be served in a window when
+// capacity goes to the heaviest requests first. Kinds of one weight share a
+// service in proportion to their demand.
+func (g trigger) oracle(top *topology, from, to jackdawbridge.Millis) float64 {
+	slow := make(map[jackdawbridge.ServiceName]float64)
+	if g.name == "slow" && from >= triggerStart && from < triggerEnd {
+		slow[g.service] = g.factor
+	}
+	left := make(map[jackdawbridge.ServiceName]float64)
+	for _, s := range top.services {
+		left[s.name] = top.slots(s.name) * 1000
+		if g.name == "wrong" && g.service == s.name {
+			left[s.name] *= g.slots
+		}
+	}
+	total := 0.0
+	for c := int(jackdawbridge.Critical); c >= 0; c-- {
+		need := make(map[jackdawbridge.ServiceName]float64)
+		used := make(map[jackdawbridge.ServiceName]float64)
+		for _, k := range top.kinds {
+			for _, s := range top.services {
+				if int(k.criticality) == c {
+					need[s.name] += g.offered(top, k, from, to) * k.occupancy(s.name, slow)
+				}
+			}
+		}
+		for _, k := range top.kinds {
+			if int(k.criticality) != c {
+				continue
+			}
+			part := 1.0
+			for _, h := range k.hops {
+				part = min(part, left[h.service]/max(need[h.service], 1))
+			}
+			total += g.offered(top, k, from, to) * part * k.weight()
+			for _, s := range top.services {
+				used[s.name] += g.offered(top, k, from, to) * part * k.occupancy(s.name, slow)
+			}
+		}
+		for _, s := range top.services {
+			left[s.name] -= used[s.name]
+		}
+	}
+	return total
+}
+
+// offered returns the mean demand of a kind in a window.
+func (g trigger) offered(top *topology, k *kind, from, to jackdawbridge.Millis) float64 {
+	sum := 0.0
+	n := 0
+	for at := from; at < to; at += bucketSpan {
+		for _, a := range top.accounts {
+			sum += g.demand(top, a, k, at)
+		}
+		n++
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/reducer/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package reducer
+
+const raceEnabled = false
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -6,16 +6,78 @@
 // over its whole call tree.
 const retryAllowance = 2
 
+const (
+	// pauseMin and pauseSpan bound the wait before a retry after a refusal for
+	// overload. The wait is jittered so that retries do not come in step.
+	pauseMin  = 10 * jackdawbridge.Millis(1)
+	pauseSpan = 30
+)
+
 // subtreeAllowance returns how many of the retries left go down with an
 // attempt. The entry keeps one for itself.
 func subtreeAllowance(left int) int { return max(left-1, 0) }
 
 // mayRetry reports whether a failed attempt may be sent again.
-func mayRetry(c *call, outcome jackdawbridge.Outcome) bool {
-	if c.allowance < 1 {
+func (p *calls) mayRetry(c *call, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) bool {
+	if c.allowance < 1 || c.deadline <= p.r.now {
+		return false
+	}
+	if outcome != jackdawbridge.NotRun && !c.envelope.Idempotent() {
 		return false
 	}
-	return outcome == jackdawbridge.NotRun || c.envelope.Idempotent()
+	switch reason {
+	case jackdawbridge.Overloaded:
+		return !p.sheds(c) && c.deadline > p.r.now+pauseMin+pauseSpan
+	case jackdawbridge.Draining, jackdawbridge.BackendDown, jackdawbridge.NotReady,
+		jackdawbridge.UpstreamFailed, jackdawbridge.UnknownService:
+		return true
+	}
+	// Another upstream would refuse for the same reason.
+	return false
+}
+
+// retry sends a call again, after a pause if the upstream was overloaded.
+func (p *calls) retry(c *call, reason jackdawbridge.Reason) {
+	c.allowance--
+	p.r.fx.Log(jackdawbridge.PartRetry, "retries, retries left").About(c.request.ID(), c.target).With(reason.String(), int64(c.allowance))
+	if reason != jackdawbridge.Overloaded {
+		p.forward(c)
+		return
+	}
+	c.stage = stagePause
+	p.pauses.Set(c.id, p.r.now+pauseMin+jackdawbridge.Millis(p.r.random.Uint64()%pauseSpan))
+}
+
+// resume sends the calls again whose pause is over.
+func (p *calls) resume() {
+	for {
+		id, ok := p.pauses.PopUntil(p.r.now)
+		if !ok {
+			return
+		}
+		p.forward(p.active[id])
+	}
+}
+
+// levelKey returns the key of the admission level that holds for a call.
+func (c *call) levelKey() levelKey { return levelKey{c.envelope.Service(), c.route.Prefix()} }
+
+// sheds reports whether a call is below the admission level of its route.
+func (p *calls) sheds(c *call) bool {
+	return p.r.routes.sheds(c.levelKey(), c.rank(), c.envelope.Bought())
+}
+
+func (c *call) rank() jackdawbridge.Level {
+	return jackdawbridge.Rank(c.envelope.Criticality(), c.envelope.Bought())
+}
+
+// learn takes note of the admission level that came with an answer. It goes on
+// to the entry of a backend server's call with the answer of the run.
+func (p *calls) learn(c *call, level jackdawbridge.Level) {
+	p.r.routes.learn(c.target, c.levelKey(), level)
+	if u, ok := p.r.runs.active[c.parent]; c.child && ok {
+		u.level = max(u.level, level)
+	}
 }
 
 // lend takes the part of a run's retries that one of its own calls gets: half
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -1,15 +1,47 @@
 package reducer
 
-import "github.com/jackdawbridge/jackdawbridge"
+import (
+	"cmp"
+	"slices"
 
-// maxCandidates bounds the upstreams of a service that a node sends to.
-const maxCandidates = 16
+	"github.com/cespare/xxhash/v2"
+	"github.com/jackdawbridge/jackdawbridge"
+)
 
-// observation is what this node has seen of an upstream.
-type observation struct {
-	inFlight int
-	latency  jackdawbridge.Millis // smoothed, 0 when unknown
-	failures int                  // in a row
+const (
+	// maxCandidates bounds the upstreams of a service that a node sends to in
+	// its data centre, and those in the others.
+	maxCandidates = 16
+	// minCandidates is how many local upstreams a service needs for the others
+	// to stay unused.
+	minCandidates = 2
+	// subsetInterval is how long a subset is used before it is chosen again. The
+	// members change rarely and a call must not look at all of them.
+	subsetInterval = 200 * jackdawbridge.Millis(1)
+	// rampSpan is how long a new upstream takes to get its full part of the calls.
+	rampSpan = 10 * jackdawbridge.Second
+	// rampStart is the part, in permille, that a new upstream gets at once.
+	rampStart = 50
+	// avoidSpan is how long a data centre is avoided after a connection to it
+	// failed. A cut makes all of its upstreams fail, and each try takes the time
+	// of a connection attempt and a retry of the request.
+	avoidSpan = jackdawbridge.Second
+	// fullWarmth is the weight of an upstream that has ramped up, in permille.
+	fullWarmth = 1000
+)
+
+// upstream is a candidate for the calls of a service.
+type upstream struct {
+	peer  jackdawbridge.Peer
+	seen  *observation
+	score uint64 // rendezvous hash
+}
+
+// subset holds the upstreams of a service that this node sends to.
+type subset struct {
+	due    jackdawbridge.Millis // when it is chosen again
+	local  []upstream           // by falling score, at most maxCandidates
+	remote []upstream           // in other data centres, likewise
 }
 
 // routes is the part that chooses upstreams.
@@ -17,38 +49,182 @@
 	r          *Reducer
 	picker     jackdawbridge.Picker
 	seen       map[jackdawbridge.Node]*observation
-	candidates []jackdawbridge.Candidate // reused by each pick
-	peers      []jackdawbridge.Peer      // reused by each pick
+	subsets    map[jackdawbridge.ServiceName]*subset
+	levels     map[levelKey]*learnedLevel
+	avoided    map[jackdawbridge.DataCentre]jackdawbridge.Millis // until when
+	candidates []jackdawbridge.Candidate                         // reused by each pick
+	chosen     []*upstream                                       // reused by each pick, one for each candidate
+	peers      []jackdawbridge.Peer                              // reused by each choice of a subset
 }
 
 func newRoutes(r *Reducer, picker jackdawbridge.Picker) routes {
-	return routes{r: r, picker: picker, seen: make(map[jackdawbridge.Node]*observation)}
+	return routes{
+		r: r, picker: picker,
+		seen:    make(map[jackdawbridge.Node]*observation),
+		subsets: make(map[jackdawbridge.ServiceName]*subset),
+		levels:  make(map[levelKey]*learnedLevel),
+		avoided: make(map[jackdawbridge.DataCentre]jackdawbridge.Millis),
+	}
 }
 
-// pick chooses an upstream of a service, another than last if there is one.
-func (p *routes) pick(service jackdawbridge.ServiceName, last jackdawbridge.Node) (jackdawbridge.Peer, bool) {
-	p.peers = p.r.members.upstreams(p.peers[:0], service)
-	p.candidates = p.candidates[:0]
+// pick chooses an upstream of a service for a request of the given rank,
+// another than last if there is one.
+func (p *routes) pick(service jackdawbridge.ServiceName, rank jackdawbridge.Level, last jackdawbridge.Node) (jackdawbridge.Peer, bool) {
+	s := p.subset(service)
+	p.candidates, p.chosen = p.candidates[:0], p.chosen[:0]
+	floor := p.suspicious(s)
+	ready := p.collect(s.local, last, floor, 0)
+	// Other data centres help when the own one cannot serve: its upstreams are
+	// too few, fail, are full or have standing queues.
+	if ready < min(minCandidates, len(s.local)) || ready == 0 {
+		ready += p.collect(s.remote, last, floor, 0)
+	}
+	// With standing queues everywhere those come first that admit lesser ranks as
+	// well, then those that admit a part of the rank.
+	if ready == 0 && rank > 1 {
+		ready = p.collect(s.local, last, floor, rank-1) + p.collect(s.remote, last, floor, rank-1)
+	}
+	if ready == 0 {
+		ready = p.collect(s.local, last, floor, rank) + p.collect(s.remote, last, floor, rank)
+	}
+	if ready == 0 {
+		p.collect(s.local, last, floor, jackdawbridge.MaxRank)
+		p.collect(s.remote, last, floor, jackdawbridge.MaxRank)
+	}
+	if len(p.chosen) == 0 {
+		p.fallback(s, last)
+	}
+	if len(p.chosen) == 0 {
+		return jackdawbridge.Peer{}, false
+	}
+	u := p.chosen[p.picker.Pick(p.candidates, p.r.random.Uint64())]
+	u.seen.probed(p.r.now)
+	return u.peer, true
+}
+
+// suspicious reports whether more than half of the upstreams look bad. Then
+// the fault is more likely to be elsewhere, and the rest could not carry the load.
+func (p *routes) suspicious(s *subset) bool {
+	ejected := 0
+	for _, list := range [2][]upstream{s.local, s.remote} {
+		for i := range list {
+			if list[i].seen.ejected(p.r.now) {
+				ejected++
+			}
+		}
+	}
+	return ejected*2 > len(s.local)+len(s.remote)
+}
+
+// collect adds the upstreams of a list that can take a request and returns how
+// many there are. Those whose admission level is above the given one are left out.
+func (p *routes) collect(list []upstream, last jackdawbridge.Node, floor bool, level jackdawbridge.Level) int {
 	n := 0
-	for _, peer := range p.peers {
-		if peer.Node() == last && len(p.peers) > 1 {
+	for i := range list {
+		u := &list[i]
+		o := u.seen
+		switch {
+		case u.peer.Node() == last,
+			o.inFlight >= max(u.peer.Conns(), 1),
+			!floor && o.ejected(p.r.now),
+			o.admits(p.r.now) > level,
+			level < jackdawbridge.MaxRank && p.avoids(u.peer.DataCentre()):
 			continue
 		}
-		p.peers[n] = peer
+		p.add(u)
 		n++
-		o := p.observed(peer.Node())
-		p.candidates = append(p.candidates, jackdawbridge.NewCandidate(o.inFlight, o.latency, o.failures, max(peer.Slots(), 1), 1000))
 	}
-	if n == 0 {
-		return jackdawbridge.Peer{}, false
+	return n
+}
+
+// avoids reports whether connections to another data centre failed lately.
+func (p *routes) avoids(dc jackdawbridge.DataCentre) bool {
+	return dc != p.r.self.DataCentre() && p.r.now < p.avoided[dc]
+}
+
+// fallback adds upstreams that have room, whatever else is known of them. The
+// last one is among them if there is no other.
+func (p *routes) fallback(s *subset, last jackdawbridge.Node) {
+	for _, list := range [2][]upstream{s.local, s.remote} {
+		for i := range list {
+			if list[i].seen.inFlight < max(list[i].peer.Conns(), 1) && list[i].peer.Node() != last {
+				p.add(&list[i])
+			}
+		}
+	}
+	if len(p.chosen) > 0 || last.IsZero() {
+		return
+	}
+	p.fallback(s, jackdawbridge.Node{})
+}
+
+func (p *routes) add(u *upstream) {
+	o := u.seen
+	p.chosen = append(p.chosen, u)
+	p.candidates = append(p.candidates, jackdawbridge.NewCandidate(
+		o.inFlight, o.latencyAt(p.r.now), o.failuresAt(p.r.now), max(u.peer.Slots(), 1), o.warmth(p.r.now)))
+}
+
+// subset returns the upstreams of a service, chosen anew when that is due.
+func (p *routes) subset(service jackdawbridge.ServiceName) *subset {
+	s, ok := p.subsets[service]
+	if !ok {
+		s = &subset{}
+		p.subsets[service] = s
+	}
+	if p.r.now >= s.due {
+		p.choose(s, service)
+	}
+	return s
+}
+
+// choose takes the upstreams with the highest rendezvous hashes of the node's
+// and the upstream's names. A member that comes or goes changes one of them.
+func (p *routes) choose(s *subset, service jackdawbridge.ServiceName) {
+	s.due = p.r.now + subsetInterval
+	s.local, s.remote = s.local[:0], s.remote[:0]
+	p.peers = p.r.members.upstreams(p.peers[:0], service)
+	for _, peer := range p.peers {
+		u := upstream{peer: peer, score: rendezvous(p.r.self.Node().Instance(), peer.Node().Instance())}
+		if peer.DataCentre() == p.r.self.DataCentre() {
+			s.local = append(s.local, u)
+		} else {
+			s.remote = append(s.remote, u)
+		}
+	}
+	s.local = p.cut(s.local)
+	s.remote = p.cut(s.remote)
+}
+
+// cut keeps the upstreams with the highest scores.
+func (p *routes) cut(list []upstream) []upstream {
+	slices.SortFunc(list, func(a, b upstream) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.peer.Node().Instance(), b.peer.Node().Instance())
+	})
+	list = list[:min(len(list), maxCandidates)]
+	for i := range list {
+		list[i].seen = p.observed(list[i].peer.Node())
+		list[i].seen.dc = list[i].peer.DataCentre()
+		list[i].seen.listed(p.r.now)
 	}
-	return p.peers[p.picker.Pick(p.candidates, p.r.random.Uint64())], true
+	return list
+}
+
+// rendezvous returns the score of an upstream for a node.
+func rendezvous(node, upstream jackdawbridge.Instance) uint64 {
+	h := xxhash.Sum64String(string(node))*31 + xxhash.Sum64String(string(upstream))
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd // the finalizer of MurmurHash3
+	return h ^ h>>33
 }
 
 func (p *routes) observed(node jackdawbridge.Node) *observation {
 	o, ok := p.seen[node]
 	if !ok {
-		o = &observation{}
+		o = &observation{first: p.r.now}
 		p.seen[node] = o
 	}
 	return o
@@ -58,22 +234,32 @@
 func (p *routes) began(node jackdawbridge.Node) { p.observed(node).inFlight++ }
 
 // ended takes note of how an attempt at an upstream ended.
-func (p *routes) ended(node jackdawbridge.Node, latency jackdawbridge.Millis, outcome jackdawbridge.Outcome, _ jackdawbridge.Reason) {
-	o := p.observed(node)
+func (p *routes) ended(node jackdawbridge.Node, latency jackdawbridge.Millis, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) {
+	o, ok := p.seen[node]
+	if !ok {
+		return // gone since
+	}
 	o.inFlight = max(o.inFlight-1, 0)
-	if outcome != jackdawbridge.Served {
-		o.failures++
-		return
+	if o.ended(p.r.now, latency, outcome, reason) {
+		p.r.fx.Warn(jackdawbridge.PartRoute, "ejected after failures").About("", node).With(reason.String(), int64(o.failures))
+	}
+	if outcome == jackdawbridge.NotRun && reason == jackdawbridge.UpstreamFailed && o.dc != p.r.self.DataCentre() {
+		p.avoided[o.dc] = p.r.now + avoidSpan
+	}
+	if reason == jackdawbridge.Draining || reason == jackdawbridge.BackendDown {
+		p.stale()
 	}
-	o.failures = 0
-	o.latency += (latency - o.latency) / 8
 }
 
-// forget drops what was seen of a node that is gone.
-func (p *routes) forget(node jackdawbridge.Node) { delete(p.seen, node) }
-
-// learn takes note of the admission level of an upstream.
-func (p *routes) learn(jackdawbridge.Node, jackdawbridge.ServiceName, jackdawbridge.Level) {}
+// stale lets each subset be chosen anew.
+func (p *routes) stale() {
+	for _, s := range p.subsets {
+		s.due = 0
+	}
+}
 
-// sheds reports whether a request is below the admission level of its service.
-func (p *routes) sheds(jackdawbridge.Envelope) bool { return false }
+// forget drops what was seen of a node that is gone.
+func (p *routes) forget(node jackdawbridge.Node) {
+	delete(p.seen, node)
+	p.stale()
+}
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -1,8 +1,6 @@
 package reducer
 
 import (
-	"encoding/binary"
-
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
@@ -25,8 +23,14 @@
 	state     runState
 	token     jackdawbridge.Token // set while the request runs
 	began     jackdawbridge.Millis
-	inFlight  int // runs when this one began, itself included
-	allowance int // retries left for own calls of the backend server
+	inFlight  int                  // runs when this one began, itself included
+	allowance int                  // retries left for own calls of the backend server
+	level     jackdawbridge.Level  // highest that answers to own calls told
+	status    int                  // of the answer
+	first     *call                // own calls in progress
+	children  int                  // own calls in progress
+	asked     jackdawbridge.Millis // since when there are own calls in progress
+	away      jackdawbridge.Millis // time with own calls in progress before that
 }
 
 // runs is the part that admits forwarded requests to the own backend server.
@@ -39,6 +43,9 @@
 	running   int                           // at most the limiter's limit
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	free      *pool.Pool[run]
+	held      *run // must run alone and waits until nothing else runs
+	solo      *run // runs alone
+	paces     [jackdawbridge.MaxClass + 1]pace
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -74,6 +81,8 @@
 	p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server is gone").With(string(p.r.self.Service()), int64(p.running))
 	p.r.quarantine.crashed(p.inFlight())
 	p.r.announce(p.r.self.WithState(jackdawbridge.PeerStarting))
+	// The next backend server starts cold.
+	p.limiter.Resize(1)
 	p.refuseWaiting(jackdawbridge.BackendDown)
 }
 
@@ -102,13 +111,15 @@
 		p.refuse(u, jackdawbridge.NotRunRefusal(reason))
 		return
 	}
+	p.deadlines.Set(u.id, u.deadline)
+	if p.direct(u) {
+		p.launch(u)
+		return
+	}
 	shed, full := p.queue.Push(p.r.now, jackdawbridge.NewWaiting(u.id, envelope, p.r.now, u.deadline))
 	if full {
 		p.refuse(p.active[shed.Call()], jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded))
 	}
-	if p.active[e.Call()] == u {
-		p.deadlines.Set(u.id, u.deadline)
-	}
 	p.pump()
 }
 
@@ -131,29 +142,6 @@
 	return jackdawbridge.NoReason
 }
 
-// pump hands waiting requests to the backend server while it has room.
-func (p *runs) pump() {
-	for p.running < p.limiter.Limit() {
-		w, ok := p.queue.Pop(p.r.now)
-		if !ok {
-			return
-		}
-		p.launch(p.active[w.Call()])
-	}
-}
-
-// launch hands a request to the backend server.
-func (p *runs) launch(u *run) {
-	p.running++
-	u.state = runRunning
-	u.began = p.r.now
-	u.inFlight = p.running
-	binary.LittleEndian.PutUint64(u.token[:8], p.r.random.Uint64())
-	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
-	p.tokens[u.token] = u
-	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
-}
-
 // answered passes an answer on. Calls that the backend server makes later get
 // no retries, since the unused ones go back with the answer.
 func (p *runs) answered(e *jackdawbridge.RunAnswered) {
@@ -162,7 +150,8 @@
 		return
 	}
 	u.state = runAnswered
-	p.r.fx.Deliver(u.id, 0, p.queue.Level(p.r.now), u.allowance)
+	u.status = e.Status()
+	p.r.fx.Deliver(u.id, 0, p.level(u), u.allowance)
 	u.allowance = 0
 }
 
@@ -191,13 +180,20 @@
 	if outcome == jackdawbridge.NotRun {
 		refusal = jackdawbridge.NotRunRefusal(jackdawbridge.BackendDown)
 	}
-	p.r.fx.Refuse(u.id, refusal, p.queue.Level(p.r.now), u.allowance)
+	p.r.fx.Refuse(u.id, refusal, p.level(u), u.allowance)
 }
 
-// stop forgets a run and frees its slot.
+// stop forgets a run and frees its slot. The calls that the backend server
+// makes for it end with it.
 func (p *runs) stop(u *run, dropped bool) {
+	for u.first != nil {
+		p.r.calls.orphan(u.first)
+	}
 	p.running--
-	p.limiter.Observe(p.r.now, jackdawbridge.NewSample(p.r.now-u.began, u.inFlight, dropped))
+	if p.solo == u {
+		p.solo = nil
+	}
+	p.observe(u, dropped)
 	delete(p.tokens, u.token)
 	p.forget(u)
 }
@@ -209,8 +205,9 @@
 		return
 	}
 	if u.state == runWaiting {
-		p.queue.Remove(id)
+		p.unqueue(u)
 		p.forget(u)
+		p.pump()
 		return
 	}
 	p.r.fx.Cancel(id, 0)
@@ -227,6 +224,10 @@
 
 // refuseWaiting refuses all requests that wait.
 func (p *runs) refuseWaiting(reason jackdawbridge.Reason) {
+	if u := p.held; u != nil {
+		p.held = nil
+		p.refuse(u, jackdawbridge.NotRunRefusal(reason))
+	}
 	for {
 		w, ok := p.queue.Pop(p.r.now)
 		if !ok {
@@ -242,25 +243,17 @@
 	p.free.Put(u)
 }
 
-// byToken returns the run that a backend server's call belongs to.
-func (p *runs) byToken(token jackdawbridge.Token) (*run, bool) {
-	u, ok := p.tokens[token]
-	return u, ok
-}
-
-// giveBack returns unused retries of a backend server's call to its run.
-func (p *runs) giveBack(id jackdawbridge.CallID, unused int) {
-	if u, ok := p.active[id]; ok && u.state == runRunning {
-		u.allowance += unused
-	}
-}
-
-// wake returns the next deadline of a request.
+// wake returns the next deadline of a request, or when the queue is looked
+// through again.
 func (p *runs) wake() jackdawbridge.Millis {
+	next := never
 	if _, at, ok := p.deadlines.Min(); ok {
-		return at
+		next = at
+	}
+	if p.queue.Len() > 0 {
+		next = min(next, p.r.now+expireInterval)
 	}
-	return never
+	return next
 }
 
 // tick ends the requests whose deadline has passed.
@@ -272,25 +265,20 @@
 		}
 		p.timeout(p.active[id])
 	}
-	for {
-		w, ok := p.queue.Expire(p.r.now, 0)
-		if !ok {
-			return
-		}
-		p.refuse(p.active[w.Call()], jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
-	}
+	p.expire()
 }
 
 // timeout ends a request whose deadline has passed.
 func (p *runs) timeout(u *run) {
 	if u.state == runWaiting {
-		p.queue.Remove(u.id)
+		p.unqueue(u)
 		p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
+		p.pump()
 		return
 	}
 	p.r.fx.Cancel(u.id, 0)
 	if u.state == runRunning {
-		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.queue.Level(p.r.now), 0)
+		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.level(u), 0)
 	}
 	p.stop(u, true)
 	p.pump()
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,6 +18,9 @@
 // their comments name.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		if filepath.Base(filepath.Dir(path)) == "policy" {
+			return // TestPolicies reads these
+		}
 		h := newHarness()
 		h.check(t.Fatalf)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- /dev/null
+++ b/reducer/tree_test.go
@@ -0,0 +1,249 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/limiter"
+	"github.com/jackdawbridge/jackdawbridge/picker"
+	"github.com/jackdawbridge/jackdawbridge/queue"
+	"pgregory.net/rapid"
+)
+
+// tree drives one request with a random call tree through a few nodes.
+type tree struct {
+	*harness
+	t        *rapid.T
+	calls    int // of backend servers and the caller
+	attempts int
+	left     int // calls that may still be made
+	depth    int // deepest run
+}
+
+// newTree starts nodes that serve the service "s", each with its own limiter.
+func newTree(t *rapid.T, nodes, slots int) *tree {
+	h := newHarness()
+	h.strategies = func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
+		return picker.NewTwoChoices(), limiter.NewAdaptive(1), queue.NewPriority(64)
+	}
+	if _, err := h.configure("account a 1000 1000 one:1000\nroute s /idempotent high idempotent\nroute s /once critical\nkey k a"); err != nil {
+		t.Fatal(err)
+	}
+	for i := range nodes {
+		name := fmt.Sprint("n", i)
+		if i == 0 {
+			h.start(name, "one")
+		} else {
+			h.start(name, "one", "n0")
+		}
+		h.announce(name, "s", slots, false)
+	}
+	h.run(3 * jackdawbridge.Second)
+	return &tree{harness: h, t: t, left: 60}
+}
+
+// TestAllowanceBoundsTree guards against retries that multiply over a call
+// tree: the attempts of a request are at most its calls and the allowance, at
+// any depth and fan-out and whatever the attempts come to.
+func TestAllowanceBoundsTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTree(t, 4, 64)
+		passing := jackdawbridge.Millis(rapid.SampledFrom([]int{0, 200}).Draw(t, "passing"))
+		for _, name := range w.order {
+			w.nodes[name].passing = passing
+		}
+		chain := rapid.Bool().Draw(t, "chain") // one call at each depth, to the greatest
+		w.onRun = func(n *fakeNode, id jackdawbridge.CallID, token jackdawbridge.Token) bool {
+			w.serve(n, id, token, chain)
+			return true
+		}
+		w.onForward = func(*fakeNode, *jackdawbridge.Forward) { w.attempts++ }
+		w.ask(w.nodes["n0"], jackdawbridge.Token{})
+		w.run(20 * jackdawbridge.Second)
+		if w.attempts > w.calls+retryAllowance {
+			t.Fatalf("%d attempts for %d calls: want at most %d more", w.attempts, w.calls, retryAllowance)
+		}
+		if w.depth > jackdawbridge.MaxDepth {
+			t.Fatalf("a run at depth %d: want at most %d", w.depth, jackdawbridge.MaxDepth)
+		}
+		w.idle(t)
+	})
+}
+
+// ask makes a call at a node.
+func (w *tree) ask(n *fakeNode, token jackdawbridge.Token) {
+	w.calls++
+	w.left--
+	path := rapid.SampledFrom([]string{"/idempotent", "/once"}).Draw(w.t, "path")
+	request := jackdawbridge.NewRequest("r", "s", "POST", path, 5000).WithKey(keyHash("k"))
+	n.arrive(request.WithToken(token))
+}
+
+// serve lets the backend server fail a run, or make calls and answer it.
+func (w *tree) serve(n *fakeNode, id jackdawbridge.CallID, token jackdawbridge.Token, chain bool) {
+	u := n.runs[id]
+	w.depth = max(w.depth, u.envelope.Depth())
+	fanOut := 1
+	if !chain {
+		fanOut = rapid.IntRange(0, 3).Draw(w.t, "fan-out")
+	}
+	for range fanOut {
+		delay := jackdawbridge.Millis(rapid.IntRange(1, 200).Draw(w.t, "delay"))
+		w.after(delay, func() {
+			if w.left > 0 {
+				w.ask(n, token)
+			}
+		})
+	}
+	end := rapid.SampledFrom([]string{"served", "not-run", "unknown"}).Draw(w.t, "end")
+	if chain && u.envelope.Depth() < jackdawbridge.MaxDepth {
+		end = rapid.SampledFrom([]string{"served", "served", "unknown"}).Draw(w.t, "end of chain")
+	}
+	span := jackdawbridge.Millis(rapid.IntRange(30, 400).Draw(w.t, "span"))
+	w.after(span, func() {
+		if u.ended {
+			return
+		}
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			switch end {
+			case "not-run":
+				return jackdawbridge.NewRunFinished(at, id, jackdawbridge.NotRun, 0)
+			case "unknown":
+				return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Unknown, 0)
+			}
+			return jackdawbridge.NewRunAnswered(at, id, 200)
+		})
+	})
+}
+
+// idle fails the test if a node holds anything after all calls have ended.
+func (w *tree) idle(t *rapid.T) {
+	for _, name := range w.order {
+		r := w.nodes[name].reducer
+		got := []int{
+			r.runs.running, len(r.runs.active), len(r.runs.tokens), r.runs.queue.Len(),
+			len(r.calls.active), r.calls.pauses.Len(), r.calls.deadlines.Len(), r.runs.deadlines.Len(),
+		}
+		for i, n := range got {
+			if n != 0 {
+				t.Fatalf("node %s holds %v at position %d after all calls have ended: want nothing", name, got, i)
+			}
+		}
+		for node, o := range r.routes.seen {
+			if o.inFlight != 0 {
+				t.Fatalf("node %s counts %d calls in flight at %s after all have ended: want none", name, o.inFlight, node)
+			}
+		}
+	}
+}
+
+// TestSlotsNeverLeak guards against a slot that stays taken: whatever the order
+// in which runs are answered, finished and cancelled, by the caller or by their
+// deadline, nothing runs in the end.
+func TestSlotsNeverLeak(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 16
+		w := newTree(t, 2, slots)
+		alone := rapid.Bool().Draw(t, "alone")
+		if alone {
+			for _, name := range w.order {
+				w.nodes[name].alone = "/once"
+			}
+		}
+		w.onRun = func(n *fakeNode, id jackdawbridge.CallID, token jackdawbridge.Token) bool {
+			w.disturb(n, id, token)
+			return true
+		}
+		w.afterStep = func(n *fakeNode) { w.exclusive(t, n, slots) }
+		count := rapid.IntRange(1, 40).Draw(t, "calls")
+		for range count {
+			w.after(jackdawbridge.Millis(rapid.IntRange(0, 200).Draw(t, "at")), func() {
+				n := w.nodes[rapid.SampledFrom(w.order).Draw(t, "entry")]
+				path := rapid.SampledFrom([]string{"/idempotent", "/once"}).Draw(t, "path")
+				budget := jackdawbridge.Millis(rapid.IntRange(1, 600).Draw(t, "budget"))
+				id := n.arrive(jackdawbridge.NewRequest(jackdawbridge.RequestID(fmt.Sprint("r", w.nextCall)), "s", "POST", path, budget).WithKey(keyHash("k")))
+				if rapid.Bool().Draw(t, "cancelled") {
+					w.after(jackdawbridge.Millis(rapid.IntRange(0, 300).Draw(t, "cancel")), func() {
+						n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallCancelled(at, id) })
+					})
+				}
+			})
+		}
+		w.run(20 * jackdawbridge.Second)
+		w.idle(t)
+	})
+}
+
+// disturb ends a run in a random way, some events of it twice or too late.
+func (w *tree) disturb(n *fakeNode, id jackdawbridge.CallID, token jackdawbridge.Token) {
+	if w.left > 0 && rapid.Bool().Draw(w.t, "child") {
+		w.after(5, func() { w.ask(n, token) })
+	}
+	for range rapid.IntRange(0, 3).Draw(w.t, "events") {
+		kind := rapid.IntRange(0, 2).Draw(w.t, "event")
+		w.after(jackdawbridge.Millis(rapid.IntRange(1, 300).Draw(w.t, "when")), func() {
+			n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+				switch kind {
+				case 0:
+					return jackdawbridge.NewRunAnswered(at, id, 200)
+				case 1:
+					return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Unknown, 0)
+				}
+				return jackdawbridge.NewCallCancelled(at, id)
+			})
+		})
+	}
+}
+
+// exclusive fails the test if a request that must run alone does not, or if
+// more runs than the slots go on.
+func (w *tree) exclusive(t *rapid.T, n *fakeNode, slots int) {
+	r := n.reducer
+	if r.runs.running != len(r.runs.tokens) || r.runs.running > slots {
+		t.Fatalf("%d running, %d tokens: want the same and at most %d", r.runs.running, len(r.runs.tokens), slots)
+	}
+	for _, u := range r.runs.tokens {
+		if !u.envelope.Alone() {
+			continue
+		}
+		for _, other := range r.runs.tokens {
+			if other.envelope.ID() != u.envelope.ID() {
+				t.Fatalf("request %s runs beside %s that must run alone", other.envelope.ID(), u.envelope.ID())
+			}
+		}
+	}
+}
+
+// TestCancellationReachesChildren guards against runs that go on for a caller
+// that is gone, or past its deadline: both end the whole tree below.
+func TestCancellationReachesChildren(t *testing.T) {
+	for name, cancelled := range map[string]bool{"cancelled": true, "deadline": false} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newTree(t, 3, 16)
+				depth := 0
+				w.onRun = func(n *fakeNode, _ jackdawbridge.CallID, token jackdawbridge.Token) bool {
+					if depth++; depth < 5 {
+						w.after(5, func() { w.ask(n, token) })
+					}
+					return true
+				}
+				id := w.nodes["n0"].arrive(jackdawbridge.NewRequest("r", "s", "POST", "/once", 200).WithKey(keyHash("k")))
+				end := 205 * jackdawbridge.Millis(1)
+				if cancelled {
+					end = 110
+					w.after(100, func() {
+						w.nodes["n0"].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewCallCancelled(at, id) })
+					})
+				}
+				w.run(99)
+				if depth != 5 {
+					t.Fatalf("%d runs: want 5", depth)
+				}
+				w.run(end - 99)
+				w.idle(t)
+			})
+		})
+	}
+}
