--- a/picker/picker.go
+++ b/picker/picker.go
@@ -17,7 +17,7 @@
 	}
 	first := draw % n
 	second := (first + 1 + (draw>>32)%(n-1)) % n
-	if cost(candidates[second]) < cost(candidates[first]) {
+	if cost(candidates[second], candidates[second].Slots()) < cost(candidates[first], candidates[first].Slots()) {
 		return int(second)
 	}
 	return int(first)
@@ -26,8 +26,9 @@
 // failureCost is what one failure in a row weighs against one call in flight.
 const failureCost = 4
 
-func cost(c jackdawbridge.Candidate) float64 {
-	load := float64(c.InFlight()+1+failureCost*c.Failures()) / float64(c.Slots())
+// cost returns what a call at c is expected to cost with the given slots.
+func cost(c jackdawbridge.Candidate, slots int) float64 {
+	load := float64(c.InFlight()+1+failureCost*c.Failures()) / float64(slots)
 	latency := float64(max(c.Latency(), 1))
 	return load * latency * 1000 / float64(c.Warmth())
 }
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -147,7 +147,7 @@
 		previous:  make(map[jackdawbridge.RecordName]*jackdawbridge.Table),
 		results:   make(map[jackdawbridge.RequestID]result),
 		strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
-			return picker.NewTwoChoices(), limiter.NewAdaptive(1), queue.NewPriority(64)
+			return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(64)
 		},
 	}
 	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
