reducer: routes draw from their own random source

Routes and retry pauses now have a source seeded at the start.

TestCallAllocations lets the node settle first.

--- a/reducer/cost_test.go
+++ b/reducer/cost_test.go
@@ -47,6 +47,12 @@
 	for _, name := range []jackdawbridge.RecordName{jackdawbridge.ConfigTable, jackdawbridge.KeysTable} {
 		p.entry.Apply(jackdawbridge.NewStoreLoaded(p.at, name, jackdawbridge.StoreOK, h.store.records[name]), &p.fx)
 	}
+	for range 10 {
+		p.at += jackdawbridge.Second
+		p.entry.Apply(jackdawbridge.NewTick(p.at), &p.fx)
+		p.upstream.Apply(jackdawbridge.NewTick(p.at), &p.fx)
+		p.fx.Reset()
+	}
 	for i := range upstreams {
 		peer := jackdawbridge.NewPeer(jackdawbridge.NewNode(jackdawbridge.Instance(fmt.Sprint("u", i)), 1), "one", jackdawbridge.Addresses{}).
 			WithBackend("s", 64, 512).WithState(jackdawbridge.PeerServing).WithVersion(1)
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -45,7 +45,7 @@
 		return
 	}
 	c.stage = stagePause
-	p.pauses.Set(c.id, p.r.now+pauseMin+jackdawbridge.Millis(p.r.random.Uint64()%pauseSpan))
+	p.pauses.Set(c.id, p.r.now+pauseMin+jackdawbridge.Millis(p.r.routes.random.Uint64()%pauseSpan))
 }
 
 // resume sends the calls again whose pause is over.
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,7 @@
 type routes struct {
 	r          *Reducer
 	picker     jackdawbridge.Picker
+	random     *rand.PCG // apart from that of the other parts, so that their draws change no route
 	seen       map[jackdawbridge.Node]*observation
 	subsets    map[jackdawbridge.ServiceName]*subset
 	levels     map[levelKey]*learnedLevel
@@ -59,7 +61,7 @@
 
 func newRoutes(r *Reducer, picker jackdawbridge.Picker) routes {
 	return routes{
-		r: r, picker: picker,
+		r: r, picker: picker, random: rand.NewPCG(r.random.Uint64(), r.random.Uint64()),
 		seen:    make(map[jackdawbridge.Node]*observation),
 		subsets: make(map[jackdawbridge.ServiceName]*subset),
 		levels:  make(map[levelKey]*learnedLevel),
@@ -97,7 +99,7 @@
 	if len(p.chosen) == 0 {
 		return jackdawbridge.Peer{}, false
 	}
-	u := p.chosen[p.picker.Pick(p.candidates, p.r.random.Uint64())]
+	u := p.chosen[p.picker.Pick(p.candidates, p.random.Uint64())]
 	u.seen.probed(p.r.now)
 	return u.peer, true
 }
