--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -90,7 +90,7 @@
 	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(self.Node().Instance(), uint64(p.clock.Now())), self.DataCentre(), self.Addresses())
 	var seed [32]byte
 	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
-	options := reducer.NewOptions(self, seed, picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(queueSize))
+	options := reducer.NewOptions(self, seed, picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(queueSize))
 	decisions, err := reducer.New(p.clock.Now(), options.WithJoins(joins))
 	if err != nil {
 		return errors.Errorf("start node: %w", err)
