node: mark the answers of watches

Cause: the reducer has a Load and a Watch of one record out at the same time and must know which one an answer belongs to; the runtime did not say it, so a watcher would have watched once only.

Change: answers of a watch, also those read after its time limit, are marked with AsWatch.

--- a/node/store.go
+++ b/node/store.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	record, err := n.parts.store.Load(ctx, name)
-	n.loaded(name, record, err)
+	n.apply(n.loaded(name, record, err))
 }
 
 // watch waits for a change of a record. When none comes in time the record is
@@ -30,15 +30,16 @@
 	defer cancel()
 	record, err := n.parts.store.Watch(ctx, name, version)
 	if err != nil && ctx.Err() != nil {
-		n.load(name)
-		return
+		again, cancelAgain := context.WithTimeout(n.ctx, storeTimeout)
+		defer cancelAgain()
+		record, err = n.parts.store.Load(again, name)
 	}
-	n.loaded(name, record, err)
+	n.apply(n.loaded(name, record, err).AsWatch())
 }
 
-func (n *Node) loaded(name jackdawbridge.RecordName, record jackdawbridge.Record, err error) {
+func (n *Node) loaded(name jackdawbridge.RecordName, record jackdawbridge.Record, err error) *jackdawbridge.StoreLoaded {
 	n.storeCalled(name, err)
-	n.apply(jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record))
+	return jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record)
 }
 
 func (n *Node) swap(name jackdawbridge.RecordName, version uint64, value jackdawbridge.Value, lease jackdawbridge.Millis) {
