jackdawbridge: process tests wait until a node knows what they rely on

With settings and membership merged, a node is ready only after it has asked peers, and learns of backend servers step by step. They now wait for both and then check as strictly as before.

--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -70,6 +70,13 @@
 			got := f.call(d).String()
 			return got, got == want
 		})
+	case "await-run":
+		backend := f.processes[arg(d, "process")]
+		_, err := f.poll("runs", func() (string, bool) {
+			got := f.call(d).String()
+			return got, strings.Contains(backend.out.String(), `"method"`)
+		})
+		return "", err
 	case "raw":
 		return f.raw(arg(d, "node"), arg(d, "listener"), d.Input)
 	case "metric":
