--- a/reducer/cost_test.go
+++ b/reducer/cost_test.go
@@ -59,6 +59,13 @@
 		p.entry.Apply(jackdawbridge.NewReceived(p.at, jackdawbridge.NewFrame(peer, jackdawbridge.Digest{}, jackdawbridge.NewProbeAck(0, nil))), &p.fx)
 		p.fx.Reset()
 	}
+	// Tokens of the account that last for the whole measurement: the event times
+	// of the calls do not advance.
+	w := p.entry.shares.walletOf("a")
+	if w == nil {
+		tb.Fatal("the account has no plan")
+	}
+	w.held = append(w.held, grant{id: 1, home: p.entry.self, left: 1 << 40, expires: p.at + grantLife})
 	p.upstream.Apply(jackdawbridge.NewBackendAnnounced(p.at, "s", 64, 512, false), &p.fx)
 	p.request = jackdawbridge.NewRequest("r", "s", "GET", "/x", 1000).WithKey(keyHash("k"))
 	envelope := jackdawbridge.NewEnvelope("r", "a", "s", jackdawbridge.High, 1000).WithIdempotent(true)
