--- a/reducer/matrix_test.go
+++ b/reducer/matrix_test.go
@@ -28,6 +28,10 @@
 	// matrixSpan is how long a fault lasts that does not end by itself. It is
 	// longer than a lease.
 	matrixSpan = 8 * jackdawbridge.Second
+	// inForceLimit bounds the time from the end of the faults until the newest
+	// tables are in force at every node. A node that only a read of the platform
+	// every 15 s tells of a change takes longer.
+	inForceLimit = 25 * jackdawbridge.Second
 	// cutOffSpan is how long a node is cut off from the platform and all others.
 	// It is longer than unconfirmedLimit.
 	cutOffSpan = 14 * jackdawbridge.Second
@@ -351,6 +355,9 @@
 			m.served = m.h.now - start
 			return
 		}
+		if lacks != "" && m.h.now-start > inForceLimit {
+			m.checks.report("configuration: after %d ms %s", m.h.now-start, lacks)
+		}
 		if m.h.now-start > serveLimit {
 			m.checks.report("recovery: after %d ms %s %s", m.h.now-start, lacks, unserved)
 		}
