reducer: confirm the first configuration at once

Cause: a node that waits for its first configuration reads the platform again 15 s after its last read, so accounts with "unconfirmed: refuse" were refused until then (seen in TestProcesses/input: 503 not-run: unconfirmed key). Ruled out: the mark of watch answers, and the relayed confirmation: no node had one to relay. Also: the load of the process tests is paced at 400 calls a second. It sent as fast as it could, which passes the share of 1000 that one data centre has of the account, and was rightly refused (429) once shares were enforced.

--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -247,6 +247,11 @@
 	ends  map[string]int
 }
 
+// loadGap is the pause of each of the 8 clients of a load between two calls. It
+// keeps the load at 400 calls a second, inside the share of 1000 that one data
+// centre has of the account.
+const loadGap = 20 * time.Millisecond
+
 // startLoad starts callers that send one call after another. A caller ends when
 // its node refuses connections, since it is told to use another node.
 func (f *fleet) startLoad(address, path, key string) {
@@ -262,6 +267,7 @@
 					return
 				default:
 				}
+				time.Sleep(loadGap)
 				a := call(client, http.MethodGet, address, path, key, nil)
 				l.mu.Lock()
 				l.ends[endOf(a)]++
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -145,12 +145,6 @@
 	return s, ok
 }
 
-// account returns the configuration of a client account.
-func (p *settings) account(name jackdawbridge.AccountName) (*jackdawbridge.Account, bool) {
-	a, ok := p.index.accounts[name]
-	return a, ok
-}
-
 // identify returns the client account that a request's key stands for.
 func (p *settings) identify(request *jackdawbridge.Request, route *jackdawbridge.Route) (jackdawbridge.AccountName, bool, jackdawbridge.Reason) {
 	if route.Open() {
@@ -285,7 +279,8 @@
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.regions.follow(dc)
 		}
-		due := p.r.now + p.confirmEvery()
+		// Accounts that are refused without a confirmation must not wait for one.
+		due := max(p.r.now, p.r.now-p.confirmedAge()+p.confirmEvery())
 		p.config.loadDue, p.keys.loadDue = min(p.config.loadDue, due), min(p.keys.loadDue, due)
 	}
 	p.spread.waves, p.spread.waveDue = waveCount, p.r.now
