reducer: tell full upstreams from none

Cause: examples/fleet.sh under overload gave 2,400 calls at each node the reason "no upstream": a call that finds as many calls at each upstream as it takes connections was refused as if the service had none, and counted as refused instead of shed. Change: the reason "upstreams full"; the load command counts it as shed. Keys that come into force for the first time are confirmed at once, as the configuration is. The demo waits until the first call is served.

--- a/check.go
+++ b/check.go
@@ -104,7 +104,7 @@
 // Check returns an error if r breaks an invariant of its fields.
 func (r Refusal) Check() error {
 	var c checks
-	c.that(r.reason != NoReason && r.reason <= Cancelled, "reason %d is unknown", r.reason)
+	c.that(r.reason != NoReason && r.reason <= UpstreamsFull, "reason %d is unknown", r.reason)
 	c.that(r.outcome == NotRun || r.outcome == Unknown, "outcome %d is not one of a refusal", r.outcome)
 	c.within(int64(r.retryAfter), 0, int64(maxSpan), "time to a retry")
 	c.status(r.status)
--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -172,7 +172,7 @@
 		return endUnknown
 	case "not-run":
 		switch answer.Header.Get("Jackdaw-Reason") {
-		case "overloaded", "deadline passed":
+		case "overloaded", "deadline passed", "upstreams full":
 			return endShed
 		}
 		return endRefused
--- a/examples/fleet.sh
+++ b/examples/fleet.sh
@@ -87,6 +87,13 @@
 	"$standin" load "$@" --duration 1s | tail -n 1
 }
 
+# A new fleet first decides who holds the shares of the accounts, and accounts
+# with "unconfirmed: refuse" wait for the first confirmation of their keys.
+for try in $(seq 1 40); do
+	if call "" --to "$(at 10)" --path /balancedesk/balance/7 --account "tizi-treks:${key[tizi-treks]}:1" | grep -q 'tizi-treks  *1'; then break; fi
+	[ "$try" -lt 40 ] || { echo "the first call was not served in 40 s"; exit 1; }
+done
+
 step "calls: account, served, shed, refused, unknown, broken, not sent, p50, p99"
 call "two hops, tanger" --to "$(at 10)" --path /balancedesk/balance/7 --account "tizi-treks:${key[tizi-treks]}:5"
 call "entry at another data centre" --to "$(at 30)" --path /balancedesk/balance/7 --account "ourika-rides:${key[ourika-rides]}:5"
--- a/outcome.go
+++ b/outcome.go
@@ -44,6 +44,7 @@
 	BadInput
 	BackendDown
 	Cancelled
+	UpstreamsFull // all upstreams of the service have as many calls as connections
 )
 
 // String returns the reason in lower case.
@@ -52,7 +53,7 @@
 		"invalid key", "unconfirmed key", "invalid token", "too deep", "over rate", "overloaded",
 		"deadline passed", "no upstream", "upstream failed", "draining", "quarantined",
 		"already running", "already ran", "in doubt", "home unreachable", "bad input",
-		"backend server down", "cancelled")
+		"backend server down", "cancelled", "upstreams full")
 }
 
 // Refusal is the answer to a request that was not served.
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -101,7 +101,7 @@
 		n.h.after(linkDelay, func() { u.origin.failed(u.call, u.attempt, refusal, level, unused, false) })
 		return
 	}
-	if e.Refusal().Reason() == jackdawbridge.NoUpstream {
+	if r := e.Refusal().Reason(); r == jackdawbridge.NoUpstream || r == jackdawbridge.UpstreamsFull {
 		n.admit(e.Call())
 	}
 	n.end(e.Call(), result{at: n.h.now, refusal: e.Refusal()})
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -198,7 +198,7 @@
 func (p *calls) forward(c *call) {
 	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
 	if !ok {
-		p.refuse(c, p.failure(c, jackdawbridge.NoUpstream))
+		p.refuse(c, p.failure(c, p.r.routes.unavailable(c.envelope.Service())))
 		return
 	}
 	c.stage = stageForward
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -104,6 +104,15 @@
 	return u.peer, true
 }
 
+// unavailable returns why no upstream of a service can be picked.
+func (p *routes) unavailable(service jackdawbridge.ServiceName) jackdawbridge.Reason {
+	s := p.subset(service)
+	if len(s.local)+len(s.remote) == 0 {
+		return jackdawbridge.NoUpstream
+	}
+	return jackdawbridge.UpstreamsFull
+}
+
 // suspicious reports whether more than half of the upstreams look bad. Then
 // the fault is more likely to be elsewhere, and the rest could not carry the load.
 func (p *routes) suspicious(s *subset) bool {
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -279,10 +279,10 @@
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.regions.follow(dc)
 		}
-		// Accounts that are refused without a confirmation must not wait for one.
-		due := max(p.r.now, p.r.now-p.confirmedAge()+p.confirmEvery())
-		p.config.loadDue, p.keys.loadDue = min(p.config.loadDue, due), min(p.keys.loadDue, due)
 	}
+	// Accounts that are refused without a confirmation must not wait for one.
+	due := max(p.r.now, p.r.now-p.confirmedAge()+p.confirmEvery())
+	p.config.loadDue, p.keys.loadDue = min(p.config.loadDue, due), min(p.keys.loadDue, due)
 	p.spread.waves, p.spread.waveDue = waveCount, p.r.now
 }
 
