reducer: runs that begin on a dying backend server are no suspects

Cause: when the connection of a run breaks, its slot is free and the next request is handed to a backend server that is already going down. That request counted as in flight at the crash, so a harmful request never crashed alone and was never quarantined. Seen in testdata/quarantine: 10 sends crashed 5 backend servers at each of two nodes. Ruled out: the rule that suspects run alone (the log shows it), and the harness alone: the runtime probes for the loss first, but a process that is being killed may accept for a moment. Change: a run that begins within 100 ms after another broke is not accused. Also: the harness ends runs in the order of their ids at a crash, since the order of a map made the matrix differ from run to run.

--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -450,7 +450,8 @@
 // The connections of its runs break first.
 func (n *fakeNode) crash() {
 	n.crashes++
-	for id, u := range n.runs {
+	for _, id := range slices.Sorted(maps.Keys(n.runs)) {
+		u := n.runs[id]
 		if u.ended {
 			continue
 		}
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -23,6 +23,9 @@
 	// have broken to count as in flight at the crash. The connections of the
 	// runs break before the loss is noticed.
 	brokenWindow = 2 * jackdawbridge.Second
+	// fallingSpan is how long after a run broke the server is taken to be going
+	// down. Runs that began in that span cannot have caused the crash.
+	fallingSpan = 100 * jackdawbridge.Millis(1)
 	// maxBroken bounds the broken runs that are remembered.
 	maxBroken = 1024
 )
@@ -51,6 +54,7 @@
 // brokenRun is a run that the backend server did not finish.
 type brokenRun struct {
 	fingerprint jackdawbridge.Fingerprint
+	began       jackdawbridge.Millis
 	at          jackdawbridge.Millis
 }
 
@@ -84,17 +88,27 @@
 }
 
 // broke takes note of a run that the backend server did not finish.
-func (p *quarantine) broke(f jackdawbridge.Fingerprint) {
+func (p *quarantine) broke(f jackdawbridge.Fingerprint, began jackdawbridge.Millis) {
 	if len(p.broken) >= maxBroken {
 		p.broken = slices.Delete(p.broken, 0, 1)
 	}
-	p.broken = append(p.broken, brokenRun{f, p.r.now})
+	p.broken = append(p.broken, brokenRun{f, began, p.r.now})
+}
+
+// falling reports whether the backend server was going down at an instant.
+func (p *quarantine) falling(at jackdawbridge.Millis) bool {
+	for _, b := range p.broken {
+		if b.began < at && b.at <= at && at-b.at <= fallingSpan {
+			return true
+		}
+	}
+	return false
 }
 
 // crashed takes note of what was in flight when the own backend server crashed.
 func (p *quarantine) crashed(prints []jackdawbridge.Fingerprint) {
 	for _, b := range p.broken {
-		if p.r.now-b.at <= brokenWindow {
+		if p.r.now-b.at <= brokenWindow && !p.falling(b.began) {
 			prints = append(prints, b.fingerprint)
 		}
 	}
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -90,7 +90,9 @@
 func (p *runs) inFlight() []jackdawbridge.Fingerprint {
 	var prints []jackdawbridge.Fingerprint
 	for _, u := range p.tokens {
-		prints = append(prints, u.envelope.Fingerprint())
+		if !p.r.quarantine.falling(u.began) {
+			prints = append(prints, u.envelope.Fingerprint())
+		}
 	}
 	return prints
 }
@@ -168,7 +170,7 @@
 	case jackdawbridge.Served:
 		p.r.quarantine.served(u.envelope.Fingerprint())
 	case jackdawbridge.Unknown:
-		p.r.quarantine.broke(u.envelope.Fingerprint())
+		p.r.quarantine.broke(u.envelope.Fingerprint(), u.began)
 	}
 	p.stop(u, e.Outcome() != jackdawbridge.Served)
 	p.pump()
