reducer: a crash report that was applied is no news again

Cause: a node forgot a suspect when it was cleared, so a copy of the crash report was news to it and was passed on, and so was the next copy of the clearing. When both were passed on at the same time they undid each other at every node. Seen in the matrix at: crash/404-lapse+587-freeze-8s did not end, 200,000 events came within 17 s of virtual time, nearly all Crash messages. Ruled out: the link of the harness, which repeated nothing in that case, and a bound on hops, since a report has no place for it. A clearing also stands for its report, so that a report that comes later does not undo it. The matrix stops a run at 50,000 messages and reports it, so that such a case fails and does not hang. Under the race detector a fifth of the cases run.

--- a/reducer/matrix_test.go
+++ b/reducer/matrix_test.go
@@ -37,6 +37,8 @@
 	cutOffSpan = 14 * jackdawbridge.Second
 	// matrixQueue is the size of a node's queue, small so that few calls fill it.
 	matrixQueue = 8
+	// frameLimit bounds the messages of a run. A run has a few thousand.
+	frameLimit = 50_000
 	// raceShare is the part of the cases that run under the race detector, which
 	// needs several times as long for each. The reducers have no goroutine.
 	raceShare = 5
@@ -146,6 +148,7 @@
 	exact   bool // a fault is injected at exactly its step
 	on      bool // the exchange has begun and its steps count
 	steps   []matrixStep
+	frames  int
 	current int       // the event whose effects are executed
 	link    linkFault // for the message in hand
 	ends    jackdawbridge.Millis
@@ -260,6 +263,10 @@
 
 func (m *matrixRun) send(from, _ *fakeNode, frame jackdawbridge.Frame) linkFault {
 	label := kindOf(frame.Message())
+	if m.frames++; m.frames > frameLimit {
+		m.checks.report("messages: more than %d, last a %s from %s", frameLimit, label, from.name)
+		return linkFault{drop: true} // else the run would not end
+	}
 	m.link = linkFault{}
 	m.step(stepFrame, from, label, m.counts(label))
 	return m.link
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -26,6 +26,11 @@
 	// fallingSpan is how long after a run broke the server is taken to be going
 	// down. Runs that began in that span cannot have caused the crash.
 	fallingSpan = 100 * jackdawbridge.Millis(1)
+	// maxNotices bounds the reports that are known again.
+	maxNotices = 4096
+	// noticeTime is how long a report is known again. Copies of it circulate for
+	// seconds at most.
+	noticeTime = quarantineTime
 	// maxBroken bounds the broken runs that are remembered.
 	maxBroken = 1024
 )
@@ -51,6 +56,16 @@
 	guilty bool    // it crashed a backend server again while it ran alone
 }
 
+// notice is what a crash report says of one request. A report that was applied
+// before is no news, whatever has become of the suspect since. Without that a
+// report and its clearing, passed on at the same time, each undid the other at
+// every node and were passed on for ever.
+type notice struct {
+	crash   crashID
+	print   jackdawbridge.Fingerprint
+	cleared bool
+}
+
 // brokenRun is a run that the backend server did not finish.
 type brokenRun struct {
 	fingerprint jackdawbridge.Fingerprint
@@ -68,7 +83,8 @@
 	sequence uint64 // of the last crash of the own backend server
 	suspects map[jackdawbridge.Fingerprint]suspect
 	expiry   heap.Heap[jackdawbridge.Fingerprint, jackdawbridge.Millis]
-	broken   []brokenRun // at most maxBroken, oldest first
+	broken   []brokenRun                             // at most maxBroken, oldest first
+	notices  heap.Heap[notice, jackdawbridge.Millis] // applied, at most maxNotices
 }
 
 func newQuarantine(r *Reducer) quarantine {
@@ -154,8 +170,14 @@
 	id := crashID{node: m.Node(), sequence: m.Sequence()}
 	news := false
 	for _, f := range m.Fingerprints() {
+		if !p.note(notice{crash: id, print: f, cleared: m.Cleared()}) {
+			continue
+		}
 		if m.Cleared() {
-			news = p.clear(f, id) || news
+			// A copy of the crash report that comes later must not undo it.
+			p.note(notice{crash: id, print: f})
+			p.clear(f, id)
+			news = true
 			continue
 		}
 		news = p.suspect(f, id, m.Age(), len(m.Fingerprints()) == 1) || news
@@ -163,15 +185,28 @@
 	return news
 }
 
+// note remembers a report and returns whether it is new.
+func (p *quarantine) note(x notice) bool {
+	before := p.notices.Len()
+	p.notices.Set(x, p.r.now+noticeTime)
+	if p.notices.Len() == before {
+		return false
+	}
+	if before >= maxNotices {
+		oldest, _, _ := p.notices.Min()
+		p.notices.Remove(oldest)
+	}
+	return true
+}
+
 // clear forgets a suspect, unless a later crash is held against it.
-func (p *quarantine) clear(f jackdawbridge.Fingerprint, id crashID) bool {
+func (p *quarantine) clear(f jackdawbridge.Fingerprint, id crashID) {
 	s, ok := p.suspects[f]
 	if !ok || s.guilty || s.crash != id {
-		return false
+		return
 	}
 	p.drop(f)
 	p.r.fx.Log(jackdawbridge.PartQuarantine, "suspect cleared").With("", int64(f))
-	return true
 }
 
 // suspect holds a crash against a request.
@@ -214,6 +249,11 @@
 
 // tick forgets what has expired.
 func (p *quarantine) tick() {
+	for {
+		if _, ok := p.notices.PopUntil(p.r.now); !ok {
+			break
+		}
+	}
 	for {
 		f, ok := p.expiry.PopUntil(p.r.now)
 		if !ok {
