--- a/check.go
+++ b/check.go
@@ -21,6 +21,8 @@
 	maxShares       = 64      // of an account
 	maxRoutes       = 1024    // of a service
 	maxMethods      = 16      // of a route
+	maxDestinations = 64      // of a route
+	maxWeight       = 1 << 30 // of a destination; sums of weights stay far from overflow
 	maxWitnesses    = 5       // of a range record
 	maxLots         = 65536   // of an account in a data centre
 	maxTokens       = 1 << 40 // keeps sums of counts and thousandths far from overflow
@@ -98,13 +100,14 @@
 	c.within(int64(e.budget), 1, int64(maxSpan), "budget")
 	c.within(int64(e.allowance), 0, maxAllowance, "allowance")
 	c.within(int64(e.depth), 0, MaxDepth, "depth")
+	c.within(int64(e.objective), 0, int64(maxSpan), "objective")
 	return c.err
 }
 
 // Check returns an error if r breaks an invariant of its fields.
 func (r Refusal) Check() error {
 	var c checks
-	c.that(r.reason != NoReason && r.reason <= UpstreamsFull, "reason %d is unknown", r.reason)
+	c.that(r.reason != NoReason && r.reason <= BackendFull, "reason %d is unknown", r.reason)
 	c.that(r.outcome == NotRun || r.outcome == Unknown, "outcome %d is not one of a refusal", r.outcome)
 	c.within(int64(r.retryAfter), 0, int64(maxSpan), "time to a retry")
 	c.status(r.status)
@@ -259,6 +262,14 @@
 			for _, m := range r.methods {
 				c.name(m, "method")
 			}
+			c.that(len(r.destinations) <= maxDestinations, "%d destinations: want at most %d", len(r.destinations), maxDestinations)
+			for _, d := range r.destinations {
+				c.name(string(d.service), "destination")
+				c.within(int64(d.weight), 1, maxWeight, "weight")
+			}
+			c.within(int64(r.timeout), 0, int64(maxSpan), "timeout")
+			c.within(int64(r.objective), 0, int64(maxSpan), "objective")
+			c.within(int64(r.attempts), 0, maxAllowance, "attempts")
 		}
 	case e.key != nil:
 		c.name(string(e.key.account), "account")
--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -15,8 +15,10 @@
 	"github.com/go-faster/errors"
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/limiter"
+	"github.com/jackdawbridge/jackdawbridge/native"
 	"github.com/jackdawbridge/jackdawbridge/node"
 	"github.com/jackdawbridge/jackdawbridge/picker"
+	"github.com/jackdawbridge/jackdawbridge/platform"
 	"github.com/jackdawbridge/jackdawbridge/queue"
 	"github.com/jackdawbridge/jackdawbridge/reducer"
 	gometrics "github.com/rcrowley/go-metrics"
@@ -37,11 +39,15 @@
 	Peers      string   `required:"" help:"Address for forwarded requests of peers, IP:PORT."`
 	Gossip     string   `required:"" help:"Address for datagrams of peers, IP:PORT."`
 	RPC        string   `required:"" name:"rpc" help:"Address for large messages of peers, IP:PORT."`
-	Backend    string   `required:"" help:"Loopback address for the own backend server, IP:PORT."`
-	Admin      string   `required:"" help:"Loopback address for operators, IP:PORT."`
+	Backend    string   `required:"" help:"Address for the own backend server, IP:PORT; on loopback or at the IP address of peers."`
+	Admin      string   `required:"" help:"Address for operators, IP:PORT; on loopback or at the IP address of peers."`
 	Secret     []string `required:"" help:"Fleet secrets; the first one signs, all are accepted."`
 	Join       []string `help:"Gossip addresses of nodes to join, IP:PORT."`
 
+	Dialect     string   `default:"native" enum:"native,platform" help:"Protocol of callers and backend servers: native or platform."`
+	Service     string   `help:"Service of the backend server, for the platform's protocol."`
+	DataCentres []string `help:"Data centres that share the rates of accounts, for the platform's protocol."`
+
 	DefaultTimeout time.Duration `default:"5s" help:"Time for a call that names none."`
 	MaxTimeout     time.Duration `default:"1m" help:"Greatest time for a call."`
 	HeaderBytes    int           `default:"32768" help:"Bound on the header of a request in bytes."`
@@ -52,6 +58,7 @@
 	MaxConns       int           `default:"4096" help:"Bound on the connections of each listener."`
 	Idle           time.Duration `default:"2m" help:"Time that a connection stays open without a request."`
 	Heartbeat      time.Duration `default:"3s" help:"Silence after which the backend server counts as lost."`
+	BackendIdle    time.Duration `default:"30s" help:"Time that a connection to the backend server stays open without a request."`
 	Linger         time.Duration `default:"2s" help:"Time between a stop and the end of the listeners."`
 	LogLevel       string        `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines: debug, info, warn or error."`
 }
@@ -87,6 +94,10 @@
 	if err != nil {
 		return err
 	}
+	dialect, err := c.speak(&p)
+	if err != nil {
+		return err
+	}
 	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(self.Node().Instance(), uint64(p.clock.Now())), self.DataCentre(), self.Addresses())
 	var seed [32]byte
 	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
@@ -96,7 +107,7 @@
 		return errors.Errorf("start node: %w", err)
 	}
 	registry := gometrics.NewRegistry()
-	n, err := node.New(node.NewParts(decisions, p.store, p.codec, p.sealer, p.clock, logger, registry), limits, addresses)
+	n, err := node.New(node.NewParts(decisions, p.tables, p.codec, p.sealer, dialect, p.clock, logger, registry), limits, addresses)
 	if err != nil {
 		return err
 	}
@@ -113,6 +124,31 @@
 	return nil
 }
 
+// speak returns the protocol of callers and backend servers. With that of the
+// platform the tables come from there as well.
+func (c *nodeCommand) speak(p *parts) (jackdawbridge.Dialect, error) {
+	if c.Dialect == "native" {
+		return native.New(c.DefaultTimeout, c.MaxTimeout), nil
+	}
+	var centres []jackdawbridge.DataCentre
+	for _, name := range c.DataCentres {
+		if !namePattern.MatchString(name) {
+			return nil, flagError("data-centres", name, "names of data centres")
+		}
+		centres = append(centres, jackdawbridge.DataCentre(name))
+	}
+	tables, err := platform.NewTables(p.store, centres)
+	if err != nil {
+		return nil, errors.Errorf("--data-centres: %w", err)
+	}
+	dialect, err := platform.NewDialect(jackdawbridge.ServiceName(c.Service), c.DefaultTimeout, c.MaxTimeout)
+	if err != nil {
+		return nil, errors.Errorf("--service: %w", err)
+	}
+	p.tables = tables
+	return dialect, nil
+}
+
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,63}$`)
 
 // identity reads who the node is and where it listens. Its incarnation is set
@@ -139,9 +175,6 @@
 		if err != nil {
 			return addresses, self, err
 		}
-		if (f.name == "backend" || f.name == "admin") && !a.Addr().IsLoopback() {
-			return addresses, self, flagError(f.name, f.value, "a loopback address")
-		}
 		// Peers are told these addresses.
 		if (f.name == "peers" || f.name == "gossip" || f.name == "rpc") && a.Addr().IsUnspecified() {
 			return addresses, self, flagError(f.name, f.value, "the address at which peers reach this node")
@@ -188,6 +221,7 @@
 		{"body-grace", c.BodyGrace, 10 * time.Millisecond},
 		{"idle", c.Idle, time.Second},
 		{"heartbeat", c.Heartbeat, 100 * time.Millisecond},
+		{"backend-idle", c.BackendIdle, 10 * time.Millisecond},
 		{"linger", c.Linger, 0},
 	} {
 		if f.value < f.low || f.value > greatestTime {
@@ -211,7 +245,7 @@
 		WithHeader(c.HeaderBytes, c.HeaderTime).
 		WithBody(c.BodyBytes, c.BodyRate, c.BodyGrace).
 		WithConns(c.MaxConns, c.Idle).
-		WithTimeouts(c.DefaultTimeout, c.MaxTimeout).
+		WithBackendIdle(c.BackendIdle).
 		WithHeartbeat(c.Heartbeat).
 		WithLinger(c.Linger), nil
 }
--- a/cmd/jackdawbridge/parts.go
+++ b/cmd/jackdawbridge/parts.go
@@ -15,7 +15,7 @@
 )
 
 // openStore returns the client of the platform's service.
-func openStore(address string) (jackdawbridge.Store, error) {
+func openStore(address string) (*platform.Store, error) {
 	if _, err := addrPort("platform", address); err != nil {
 		return nil, err
 	}
@@ -28,7 +28,8 @@
 
 // parts are what a node is made of besides its decisions.
 type parts struct {
-	store  jackdawbridge.Store
+	store  *platform.Store
+	tables jackdawbridge.Store // where a node reads its tables and keeps its records
 	codec  jackdawbridge.Codec
 	sealer *wire.Sealer
 	clock  jackdawbridge.Clock
@@ -48,7 +49,7 @@
 	if err != nil {
 		return parts{}, errors.Errorf("--secret: %w", err)
 	}
-	return parts{store: store, codec: wire.Codec{}, sealer: sealer, clock: system}, nil
+	return parts{store: store, tables: store, codec: wire.Codec{}, sealer: sealer, clock: system}, nil
 }
 
 // listen opens the transports for messages of peers.
--- a/config.go
+++ b/config.go
@@ -61,6 +61,7 @@
 	burst       int64   // requests over the fleet, at least 1
 	bought      bool    // has paid priority
 	unconfirmed bool    // is served while its keys cannot be confirmed with the platform
+	unlimited   bool    // rate and burst are not enforced
 	shares      []Share // sum to 1000 permille, one for each data centre at most
 }
 
@@ -101,6 +102,13 @@
 	return &c
 }
 
+// WithoutLimit returns a copy of a whose rate and burst are not enforced.
+func (a *Account) WithoutLimit() *Account {
+	c := *a
+	c.unlimited = true
+	return &c
+}
+
 // Name returns the name of a.
 func (a *Account) Name() AccountName { return a.name }
 
@@ -113,6 +121,9 @@
 // Bought reports whether a has paid priority.
 func (a *Account) Bought() bool { return a.bought }
 
+// Unlimited reports whether the rate and burst of a are not enforced.
+func (a *Account) Unlimited() bool { return a.unlimited }
+
 // ServeUnconfirmed reports whether a is served while its keys cannot be
 // confirmed with the platform.
 func (a *Account) ServeUnconfirmed() bool { return a.unconfirmed }
@@ -120,13 +131,40 @@
 // Shares returns the base shares of a. The caller must not change them.
 func (a *Account) Shares() []Share { return a.shares }
 
+// Destination is a service that requests of a route are sent to.
+type Destination struct {
+	service ServiceName
+	weight  int // at least 1; the parts of a route are in proportion to their weights
+}
+
+// NewDestination returns a service that gets requests by the given weight.
+func NewDestination(service ServiceName, weight int) (Destination, error) {
+	if service == "" {
+		return Destination{}, errors.New("destination has no service")
+	}
+	if weight < 1 {
+		return Destination{}, errors.Errorf("destination %s has weight %d: want at least 1", service, weight)
+	}
+	return Destination{service: service, weight: weight}, nil
+}
+
+// Service returns the service of d.
+func (d Destination) Service() ServiceName { return d.service }
+
+// Weight returns the weight of d.
+func (d Destination) Weight() int { return d.weight }
+
 // Route is a set of requests of a service that are treated alike.
 type Route struct {
-	prefix      string   // of the path, starts with a slash
-	methods     []string // upper case; empty for all
-	criticality Criticality
-	idempotent  bool
-	open        bool // needs no key
+	prefix       string   // of the path, starts with a slash
+	methods      []string // upper case; empty for all
+	criticality  Criticality
+	idempotent   bool
+	open         bool          // needs no key
+	destinations []Destination // empty for the service that the request names
+	timeout      Millis        // bound on the time to the answer, 0 for none
+	objective    Millis        // time within which an answer is worth most, 0 if unknown
+	attempts     int           // upstreams that a request may be sent to, 0 for the default
 }
 
 // NewRoute returns a route for paths with the given prefix and methods.
@@ -143,6 +181,30 @@
 	}, nil
 }
 
+// WithDestinations returns a copy of r whose requests go to the given services.
+func (r *Route) WithDestinations(destinations []Destination) *Route {
+	c := *r
+	c.destinations = slices.Clone(destinations)
+	return &c
+}
+
+// WithTimes returns a copy of r with a bound on the time to the answer and the
+// time within which an answer is worth most, 0 for none.
+func (r *Route) WithTimes(timeout, objective Millis) *Route {
+	c := *r
+	c.timeout = max(timeout, 0)
+	c.objective = max(objective, 0)
+	return &c
+}
+
+// WithAttempts returns a copy of r whose requests may be sent to the given
+// number of upstreams, 0 for the default.
+func (r *Route) WithAttempts(attempts int) *Route {
+	c := *r
+	c.attempts = max(attempts, 0)
+	return &c
+}
+
 // Prefix returns the path prefix of r.
 func (r *Route) Prefix() string { return r.prefix }
 
@@ -158,6 +220,20 @@
 // Open reports whether r needs no key.
 func (r *Route) Open() bool { return r.open }
 
+// Destinations returns the services that requests of r are sent to, none for
+// the service that a request names. The caller must not change them.
+func (r *Route) Destinations() []Destination { return r.destinations }
+
+// Timeout returns the bound on the time to an answer, 0 for none.
+func (r *Route) Timeout() Millis { return r.timeout }
+
+// Objective returns the time within which an answer is worth most, 0 if unknown.
+func (r *Route) Objective() Millis { return r.objective }
+
+// Attempts returns how many upstreams a request may be sent to, 0 for the
+// default.
+func (r *Route) Attempts() int { return r.attempts }
+
 // Matches reports whether r covers the method and path.
 func (r *Route) Matches(method, path string) bool {
 	if !strings.HasPrefix(path, r.prefix) {
--- a/event.go
+++ b/event.go
@@ -159,6 +159,24 @@
 // Status returns the status of the answer.
 func (e *RunAnswered) Status() int { return e.status }
 
+// RunRejected tells that the backend server refused to run a request.
+type RunRejected struct {
+	stamp
+	call   CallID
+	reason Reason
+}
+
+// NewRunRejected returns the refusal of a backend server.
+func NewRunRejected(at Millis, call CallID, reason Reason) *RunRejected {
+	return &RunRejected{stamp{at}, call, reason}
+}
+
+// Call returns the call.
+func (e *RunRejected) Call() CallID { return e.call }
+
+// Reason returns why the backend server refused.
+func (e *RunRejected) Reason() Reason { return e.reason }
+
 // RunFinished tells that a run ended: its answer was passed on in full or
 // broke, or the backend server did not answer.
 type RunFinished struct {
--- a/node/admin.go
+++ b/node/admin.go
@@ -39,7 +39,7 @@
 	mux.HandleFunc("GET /status", n.serveStatus)
 	mux.HandleFunc("GET "+statusPath, n.servePublicStatus)
 	mux.HandleFunc("GET /metrics", n.serveMetrics)
-	mux.HandleFunc("GET /ready", n.serveReady)
+	mux.HandleFunc("GET "+n.parts.dialect.ReadyPath(), n.serveReady)
 	return mux
 }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -1,24 +1,14 @@
 package node
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/jackdawbridge/jackdawbridge"
 )
 
 const (
-	// announcePath is where the own backend server announces itself.
-	announcePath = "/jackdaw/backend"
-	// maxAnnouncement bounds an announcement in bytes.
-	maxAnnouncement = 4 << 10
-	// maxSlots bounds the slots and connections of one backend server.
-	maxSlots = 100_000
 	// lossProbes is how often a backend server is asked for a connection after
 	// one broke. A process that is being killed may accept for a moment.
 	lossProbes = 3
@@ -26,85 +16,94 @@
 	lossProbeGap = 5 * time.Millisecond
 )
 
-// announcement is what the own backend server tells of itself.
-type announcement struct {
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Slots    int    `json:"slots"`
-	Conns    int    `json:"conns"`
-	Draining bool   `json:"draining"`
-}
-
-func (a announcement) check() error {
-	switch {
-	case a.Service == "":
-		return errors.New("announcement names no service")
-	case a.Slots < 1 || a.Slots > maxSlots:
-		return errors.Errorf("announcement has %d slots: want 1 to %d", a.Slots, maxSlots)
-	case a.Conns < 1 || a.Conns > maxSlots:
-		return errors.Errorf("announcement has %d conns: want 1 to %d", a.Conns, maxSlots)
-	}
-	address, err := netip.ParseAddrPort(a.Address)
-	if err != nil || !address.Addr().IsLoopback() || address.Port() == 0 {
-		return errors.Errorf("announcement has address %q: want a loopback IP address with a port", a.Address)
-	}
-	return nil
-}
-
 // backend follows the own backend server.
 type backend struct {
 	n *Node
 
 	mu        sync.Mutex
-	address   string          // empty while none has announced itself or it is lost
-	conns     int             // bound of transport
-	transport *http.Transport // nil before the first announcement
-	silence   *time.Timer     // runs from the last heartbeat; nil before the first
+	last      jackdawbridge.Announcement // the newest that was taken
+	known     bool                       // there is one
+	present   bool                       // the backend server is not lost since then
+	transport *http.Transport            // nil before the first announcement
+	silence   *time.Timer                // runs from the last heartbeat; nil before the first
 }
 
 func newBackend(n *Node) *backend { return &backend{n: n} }
 
-// serveAnnouncement takes an announcement or a heartbeat.
+// serveAnnouncement takes an announcement or a heartbeat. A late one is
+// acknowledged as well and changes nothing.
 func (b *backend) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodPut {
-		w.Header().Set("Allow", http.MethodPut)
-		http.Error(w, "want PUT", http.StatusMethodNotAllowed)
-		return
-	}
-	var a announcement
-	decoder := json.NewDecoder(io.LimitReader(r.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&a)
-	if err == nil {
-		err = a.check()
-	}
+	a, err := b.n.parts.dialect.ReadAnnouncement(r)
 	if err != nil {
 		b.n.metrics.count("bad_input_announcement")
-		b.n.log.warn("node: bad input refused", "listener", "backend", "error", err)
+		b.n.log.warn("node: announcement refused", "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	b.announced(a)
-	b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), jackdawbridge.ServiceName(a.Service), a.Slots, a.Conns, a.Draining))
-	w.WriteHeader(http.StatusNoContent)
+	b.n.parts.dialect.Acknowledge(w)
 }
 
-func (b *backend) announced(a announcement) {
+// announced takes an announcement unless a newer one was taken before.
+func (b *backend) announced(a jackdawbridge.Announcement) {
+	taken, restarted := b.take(a)
+	if !taken {
+		b.n.metrics.count("announcements_late")
+		return
+	}
+	if restarted {
+		b.n.log.warn("node: backend server was started anew", "backend", a.Backend(), "born", a.Born())
+		b.n.apply(jackdawbridge.NewBackendLost(b.n.now()))
+	}
+	last := b.newest()
+	draining := a.State() != jackdawbridge.BackendServing
+	b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining))
+}
+
+func (b *backend) newest() jackdawbridge.Announcement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.transport == nil || b.conns != a.Conns {
+	return b.last
+}
+
+// take keeps an announcement and reports whether it is news, and whether it is
+// the first of another start than the one before.
+func (b *backend) take(a jackdawbridge.Announcement) (taken, restarted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.State() == jackdawbridge.BackendLeft {
+		return b.leave(a), false
+	}
+	same := b.known && a.Backend() == b.last.Backend() && a.Born() == b.last.Born()
+	switch {
+	case same && b.last.State() == jackdawbridge.BackendLeft:
+		return false, false
+	case b.known && !a.Follows(b.last):
+		return false, false
+	}
+	restarted = b.present && !same
+	if b.transport == nil || restarted || b.last.Conns() != a.Conns() {
 		if b.transport != nil {
 			b.transport.CloseIdleConnections()
 		}
-		b.transport = newTransport(a.Conns)
-		b.conns = a.Conns
+		b.transport = newTransport(a.Conns(), b.n.limits.backendIdle)
 	}
-	b.address = a.Address
+	b.last, b.known, b.present = a, true, true
 	if b.silence == nil {
 		b.silence = time.AfterFunc(b.n.limits.heartbeat, b.silent)
-		return
+	} else {
+		b.silence.Reset(b.n.limits.heartbeat)
+	}
+	return true, restarted
+}
+
+// leave takes note that the backend server has left. It may serve for a while.
+func (b *backend) leave(a jackdawbridge.Announcement) bool {
+	if !b.known || a.Backend() != b.last.Backend() || a.Born() != 0 && a.Born() != b.last.Born() {
+		return false
 	}
-	b.silence.Reset(b.n.limits.heartbeat)
+	b.last = b.last.WithState(jackdawbridge.BackendLeft)
+	return true
 }
 
 // silent takes note that the heartbeats have stopped.
@@ -114,15 +113,15 @@
 }
 
 // route returns how to reach the backend server.
-func (b *backend) route() (*http.Transport, string, bool) {
+func (b *backend) route() (*http.Transport, jackdawbridge.Announcement, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.transport, b.address, b.address != ""
+	return b.transport, b.last, b.present
 }
 
 // check finds out whether the backend server is gone after a failure.
 func (b *backend) check(refused bool) {
-	_, address, ok := b.route()
+	_, at, ok := b.route()
 	if !ok {
 		return
 	}
@@ -130,18 +129,18 @@
 		if probe > 0 && !b.n.pause(lossProbeGap) {
 			return
 		}
-		refused = refusesConnections(b.n.ctx, address)
+		refused = refusesConnections(b.n.ctx, at.Address().String())
 	}
 	if refused {
-		b.n.log.warn("node: backend server refuses connections", "address", address)
+		b.n.log.warn("node: backend server refuses connections", "address", at.Address().String())
 		b.lose()
 	}
 }
 
 func (b *backend) lose() {
 	b.mu.Lock()
-	lost := b.address != ""
-	b.address = ""
+	lost := b.present
+	b.present = false
 	b.mu.Unlock()
 	if lost {
 		b.n.metrics.count("backend_lost")
--- a/node/caller.go
+++ b/node/caller.go
@@ -6,90 +6,64 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 	"github.com/jackdawbridge/jackdawbridge"
 )
 
 // inbound is a call at its entry node, as read from a listener.
 type inbound struct {
-	request *jackdawbridge.Request
-	target  target
-	header  http.Header // that goes on
-	method  string
-	host    string
-	body    *body
+	head   jackdawbridge.Head
+	method string
+	host   string
+	body   *body
 }
 
 // serveCaller serves the request of a caller.
 func (n *Node) serveCaller(w http.ResponseWriter, r *http.Request) {
-	n.serveCall(w, r, "caller", func(request *jackdawbridge.Request) error {
-		hash, keyed, err := keyOf(r.Header)
-		if err == nil && keyed {
-			request.WithKey(hash)
-		}
-		return err
-	})
+	n.serveCall(w, r, false)
 }
 
 // serveChild serves a call that the own backend server makes.
 func (n *Node) serveChild(w http.ResponseWriter, r *http.Request) {
-	n.serveCall(w, r, "backend", func(request *jackdawbridge.Request) error {
-		token, err := tokenOf(r.Header)
-		request.WithToken(token)
-		return err
-	})
+	n.serveCall(w, r, true)
 }
 
 // serveCall serves a request at its entry node.
-func (n *Node) serveCall(w http.ResponseWriter, r *http.Request, listener string, identify func(*jackdawbridge.Request) error) {
+func (n *Node) serveCall(w http.ResponseWriter, r *http.Request, child bool) {
 	began := time.Now()
-	id := jackdawbridge.RequestID(uuid.Must(uuid.NewV7()).String())
-	w.Header().Set(headerRequest, string(id))
-	in, err := n.readCall(w, r, id, identify)
+	in, err := n.readCall(w, r, child)
 	if err != nil {
-		n.refuseInput(w, listener, id, err)
+		n.refuseInput(w, r, "", err)
 		return
 	}
+	w.Header().Set(headerRequest, string(in.head.Request().ID()))
 	x := n.open()
 	defer n.end(x)
-	n.apply(jackdawbridge.NewCallArrived(n.now(), x.call, in.request))
+	n.apply(jackdawbridge.NewCallArrived(n.now(), x.call, in.head.Request()))
 	n.follow(w, r, x, in)
 	n.metrics.observe("call_milliseconds", time.Since(began))
 }
 
 // readCall reads what the reducer needs to know of a request.
-func (n *Node) readCall(w http.ResponseWriter, r *http.Request, id jackdawbridge.RequestID, identify func(*jackdawbridge.Request) error) (*inbound, error) {
-	to, err := targetOf(r.URL)
+func (n *Node) readCall(w http.ResponseWriter, r *http.Request, child bool) (*inbound, error) {
+	head, err := n.parts.dialect.ReadCall(r, child)
 	if err != nil {
 		return nil, err
 	}
-	budget, err := budgetOf(r.Header, n.limits)
-	if err != nil {
-		return nil, err
-	}
-	idempotency, err := idempotencyOf(r.Header)
-	if err != nil {
-		return nil, err
-	}
-	request := jackdawbridge.NewRequest(id, to.service, r.Method, to.path, budget).WithIdempotency(idempotency)
-	if err := identify(request); err != nil {
-		return nil, err
-	}
 	content, err := readBody(w, r, n.limits)
 	if err != nil {
 		return nil, err
 	}
-	request.WithBody(content.digest())
-	return &inbound{request: request, target: to, header: passedHeader(r.Header), method: r.Method, host: r.Host, body: content}, nil
+	head.Request().WithBody(content.digest())
+	return &inbound{head: head, method: r.Method, host: r.Host, body: content}, nil
 }
 
 // refuseInput refuses a request that cannot be read. Its connection ends,
 // because the rest of the request may still be on it.
-func (n *Node) refuseInput(w http.ResponseWriter, listener string, id jackdawbridge.RequestID, err error) {
-	n.metrics.count("bad_input_" + listener)
-	n.log.warn("node: bad input refused", "listener", listener, "request", string(id), "error", err)
+func (n *Node) refuseInput(w http.ResponseWriter, r *http.Request, id jackdawbridge.RequestID, err error) {
+	n.metrics.count("bad_input")
+	n.log.warn("node: bad input refused", "request", string(id), "from", r.RemoteAddr, "error", err)
 	w.Header().Set("Connection", "close")
-	writeRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
+	n.writeRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
 }
 
 // follow does what the reducer decides until the request has ended.
@@ -105,6 +79,7 @@
 				return
 			case decideRefuse:
 				n.refuse(w, d.refusal, in.body)
+				n.writeRefusal(w, d.refusal)
 				return
 			}
 		case <-r.Context().Done():
@@ -130,7 +105,7 @@
 	n.metrics.count("calls_served")
 }
 
-// refuse answers a request with a refusal.
+// refuse prepares the answer to a request that is refused.
 func (n *Node) refuse(w http.ResponseWriter, refusal jackdawbridge.Refusal, content *body) {
 	n.closeIfStopping(w)
 	if content != nil && content.streams() {
@@ -139,7 +114,6 @@
 	n.metrics.count("refused_" + refusal.Outcome().String())
 	n.metrics.count("refused_for_" + refusal.Reason().String())
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(n.limits.writeStall))
-	writeRefusal(w, refusal)
 }
 
 // closeIfStopping tells a client on an open connection to use another node.
@@ -197,7 +171,7 @@
 	}
 	rep, err := readReport(answer.Header)
 	if err == nil && !rep.refused && !framed(answer) {
-		err = errors.New("answer has no length")
+		err = errors.New("answer has no length, its end could not be told from a failure")
 	}
 	if err != nil || rep.refused {
 		drain(answer)
@@ -215,11 +189,11 @@
 	if err != nil {
 		return nil, errors.Errorf("encode envelope: %w", err)
 	}
-	u, err := requestURL(d.target.Addresses().HTTP().String(), in.target.raw, in.target.query)
+	u, err := requestURL(d.target.Addresses().HTTP().String(), in.head.RawPath(), in.head.Query())
 	if err != nil {
 		return nil, err
 	}
-	header := in.header.Clone()
+	header := passedHeader(in.head.Header())
 	header.Set(headerEnvelope, n.parts.sealer.SealHeader(data))
 	request := (&http.Request{Method: in.method, URL: u, Host: in.host, Header: header, ContentLength: in.body.length}).WithContext(ctx)
 	if in.body.streams() {
--- a/node/hop.go
+++ b/node/hop.go
@@ -29,20 +29,21 @@
 )
 
 func newUpstreamTransport() *http.Transport {
-	t := newTransport(upstreamConns)
+	t := newTransport(upstreamConns, upstreamIdle)
 	t.ExpectContinueTimeout = continueWait
 	return t
 }
 
-// newTransport returns a transport without a proxy, for plain HTTP/1.1.
-func newTransport(conns int) *http.Transport {
+// newTransport returns a transport without a proxy, for plain HTTP/1.1, that
+// closes connections after the given idle time.
+func newTransport(conns int, idle time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		MaxConnsPerHost:        conns,
 		MaxIdleConns:           0, // bounded for each host
 		MaxIdleConnsPerHost:    conns,
-		IdleConnTimeout:        upstreamIdle,
+		IdleConnTimeout:        idle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
--- a/node/limits.go
+++ b/node/limits.go
@@ -8,18 +8,17 @@
 
 // Limits bounds what the listeners of a Node accept.
 type Limits struct {
-	headerBytes    int           // of a request's header
-	headerTime     time.Duration // to read a header
-	bodyBytes      int64         // of a request's body
-	bodyRate       int64         // least bytes a second of a body
-	bodyGrace      time.Duration // before bodyRate holds
-	writeStall     time.Duration // for a caller to take a part of an answer
-	conns          int           // connections of each listener
-	idle           time.Duration // of a connection without a request
-	defaultTimeout time.Duration // of a call that names none
-	maxTimeout     time.Duration
-	heartbeat      time.Duration // silence after which the backend server counts as lost
-	linger         time.Duration // between a stop and the end of the listeners
+	headerBytes int           // of a request's header
+	headerTime  time.Duration // to read a header
+	bodyBytes   int64         // of a request's body
+	bodyRate    int64         // least bytes a second of a body
+	bodyGrace   time.Duration // before bodyRate holds
+	writeStall  time.Duration // for a caller to take a part of an answer
+	conns       int           // connections of each listener
+	idle        time.Duration // of a connection without a request
+	backendIdle time.Duration // of a connection to the backend server
+	heartbeat   time.Duration // silence after which the backend server counts as lost
+	linger      time.Duration // between a stop and the end of the listeners
 }
 
 // DefaultLimits returns the limits of a node in production.
@@ -29,8 +28,8 @@
 		bodyBytes: 256 << 20, bodyRate: 16 << 10, bodyGrace: 5 * time.Second,
 		writeStall: 10 * time.Second,
 		conns:      4096, idle: 2 * time.Minute,
-		defaultTimeout: 5 * time.Second, maxTimeout: time.Minute,
-		heartbeat: 3 * time.Second, linger: 2 * time.Second,
+		backendIdle: 30 * time.Second,
+		heartbeat:   3 * time.Second, linger: 2 * time.Second,
 	}
 }
 
@@ -59,10 +58,11 @@
 	return l
 }
 
-// WithTimeouts returns l with the default and the greatest time for a call.
-func (l Limits) WithTimeouts(normal, greatest time.Duration) Limits {
-	l.defaultTimeout = normal
-	l.maxTimeout = greatest
+// WithBackendIdle returns l with the time that a connection to the backend
+// server stays open without a request. It must be below the time after which
+// the backend server closes it.
+func (l Limits) WithBackendIdle(idle time.Duration) Limits {
+	l.backendIdle = idle
 	return l
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -17,18 +17,18 @@
 type Addresses struct {
 	callers netip.AddrPort
 	peers   netip.AddrPort
-	backend netip.AddrPort // loopback
-	admin   netip.AddrPort // loopback
+	backend netip.AddrPort // for the instance only
+	admin   netip.AddrPort // for the instance only
 }
 
 // NewAddresses returns the addresses of the listeners. The backend server and
-// the operators reach theirs over loopback only.
+// the operators reach theirs over loopback, or at the IP address of the instance
+// where nobody else can.
 func NewAddresses(callers, peers, backend, admin netip.AddrPort) (Addresses, error) {
-	if !backend.Addr().IsLoopback() {
-		return Addresses{}, errors.Errorf("backend listener at %s: want a loopback address", backend)
-	}
-	if !admin.Addr().IsLoopback() {
-		return Addresses{}, errors.Errorf("admin listener at %s: want a loopback address", admin)
+	for name, a := range map[string]netip.AddrPort{"backend": backend, "admin": admin} {
+		if !a.Addr().IsLoopback() && a.Addr() != peers.Addr() {
+			return Addresses{}, errors.Errorf("%s listener at %s: want a loopback address or %s", name, a, peers.Addr())
+		}
 	}
 	return Addresses{callers: callers, peers: peers, backend: backend, admin: admin}, nil
 }
@@ -51,7 +51,7 @@
 	}{
 		{"callers", n.addresses.callers, http.HandlerFunc(n.serveCaller)},
 		{"peers", n.addresses.peers, http.HandlerFunc(n.serveForward)},
-		{"backend", n.addresses.backend, exact(announcePath, n.backend.serveAnnouncement, n.serveChild)},
+		{"backend", n.addresses.backend, http.HandlerFunc(n.serveBackend)},
 		{"admin", n.addresses.admin, n.adminHandler()},
 	} {
 		if err := n.serve(l.name, l.address, l.handler); err != nil {
@@ -61,16 +61,13 @@
 	return nil
 }
 
-// exact returns a handler with one path of its own. A ServeMux would redirect
-// paths that are not clean, which are refused instead.
-func exact(path string, own, other http.HandlerFunc) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == path {
-			own(w, r)
-			return
-		}
-		other(w, r)
-	})
+// serveBackend serves the own backend server: its announcements and its calls.
+func (n *Node) serveBackend(w http.ResponseWriter, r *http.Request) {
+	if n.parts.dialect.Announces(r) {
+		n.backend.serveAnnouncement(w, r)
+		return
+	}
+	n.serveChild(w, r)
 }
 
 func (n *Node) serve(name string, address netip.AddrPort, handler http.Handler) error {
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	store   jackdawbridge.Store
 	codec   jackdawbridge.Codec
 	sealer  Sealer
+	dialect jackdawbridge.Dialect
 	clock   jackdawbridge.Clock
 	logger  *slog.Logger
 	metrics gometrics.Registry
@@ -38,9 +39,9 @@
 // NewParts returns the parts of a node.
 func NewParts(
 	reducer jackdawbridge.Inspector, store jackdawbridge.Store, codec jackdawbridge.Codec,
-	sealer Sealer, clock jackdawbridge.Clock, logger *slog.Logger, metrics gometrics.Registry,
+	sealer Sealer, dialect jackdawbridge.Dialect, clock jackdawbridge.Clock, logger *slog.Logger, metrics gometrics.Registry,
 ) Parts {
-	return Parts{reducer: reducer, store: store, codec: codec, sealer: sealer, clock: clock, logger: logger, metrics: metrics}
+	return Parts{reducer: reducer, store: store, codec: codec, sealer: sealer, dialect: dialect, clock: clock, logger: logger, metrics: metrics}
 }
 
 // Node runs a reducer. Events are applied one at a time under a mutex, and
@@ -72,7 +73,7 @@
 // New returns a node that has not started.
 func New(parts Parts, limits Limits, addresses Addresses) (*Node, error) {
 	if parts.reducer == nil || parts.store == nil || parts.codec == nil ||
-		parts.sealer == nil || parts.clock == nil || parts.logger == nil || parts.metrics == nil {
+		parts.sealer == nil || parts.dialect == nil || parts.clock == nil || parts.logger == nil || parts.metrics == nil {
 		return nil, errors.New("node lacks a part")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -9,49 +9,24 @@
 	"github.com/jackdawbridge/jackdawbridge"
 )
 
-// statusOf returns the status code of a refusal.
-func statusOf(reason jackdawbridge.Reason) int {
-	switch reason {
-	case jackdawbridge.UnknownService, jackdawbridge.UnknownRoute:
-		return http.StatusNotFound
-	case jackdawbridge.MissingKey, jackdawbridge.InvalidKey:
-		return http.StatusUnauthorized
-	case jackdawbridge.InvalidToken:
-		return http.StatusForbidden
-	case jackdawbridge.TooDeep:
-		return http.StatusLoopDetected
-	case jackdawbridge.OverRate:
-		return http.StatusTooManyRequests
-	case jackdawbridge.DeadlinePassed:
-		return http.StatusGatewayTimeout
-	case jackdawbridge.UpstreamFailed:
-		return http.StatusBadGateway
-	case jackdawbridge.Quarantined:
-		return http.StatusUnprocessableEntity
-	case jackdawbridge.AlreadyRunning, jackdawbridge.AlreadyRan, jackdawbridge.InDoubt:
-		return http.StatusConflict
-	case jackdawbridge.BadInput:
-		return http.StatusBadRequest
-	}
-	return http.StatusServiceUnavailable
+// writeRefusal answers a caller's request with a refusal.
+func (n *Node) writeRefusal(w http.ResponseWriter, refusal jackdawbridge.Refusal) {
+	status := n.parts.dialect.Refuse(w.Header(), refusal)
+	writeText(w, status, refusal)
 }
 
-// writeRefusal answers a request with a refusal.
-func writeRefusal(w http.ResponseWriter, refusal jackdawbridge.Refusal) {
+// writePeerRefusal tells the entry node that a request is refused.
+func writePeerRefusal(w http.ResponseWriter, refusal jackdawbridge.Refusal) {
 	h := w.Header()
 	h.Set(headerOutcome, refusal.Outcome().String())
 	h.Set(headerReason, refusal.Reason().String())
-	if after := refusal.RetryAfter(); after > 0 {
-		h.Set(headerRetryAfter, strconv.FormatInt(int64((after+jackdawbridge.Second-1)/jackdawbridge.Second), 10))
-	}
-	if refusal.Status() != 0 {
-		h.Set(headerStatus, strconv.Itoa(refusal.Status()))
-	}
-	if refusal.Reason() == jackdawbridge.MissingKey || refusal.Reason() == jackdawbridge.InvalidKey {
-		h.Set("WWW-Authenticate", "Bearer")
-	}
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(statusOf(refusal.Reason()))
+	h.Set(headerAfter, strconv.FormatInt(int64(refusal.RetryAfter()), 10))
+	writeText(w, http.StatusServiceUnavailable, refusal)
+}
+
+func writeText(w http.ResponseWriter, status int, refusal jackdawbridge.Refusal) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, refusal.Outcome().String()+": "+refusal.Reason().String()+"\n")
 }
 
@@ -59,6 +34,9 @@
 // takes no more than it gave.
 const maxAllowance = 1 << 10
 
+// maxAfter bounds the time to a retry that an answer may name, in milliseconds.
+const maxAfter = 1 << 20
+
 // writeReport adds what an upstream's node tells the entry node.
 func writeReport(h http.Header, level jackdawbridge.Level, unused int) {
 	h.Set(headerLevel, strconv.Itoa(int(level)))
@@ -95,6 +73,11 @@
 	default:
 		return report{}, errors.Errorf("header %s is %q", headerOutcome, outcome)
 	}
+	after, err := boundedHeader(h, headerAfter, maxAfter)
+	if err != nil {
+		return report{}, err
+	}
+	rep.refusal = rep.refusal.WithRetryAfter(jackdawbridge.Millis(after))
 	rep.refused = true
 	return rep, nil
 }
--- a/node/run.go
+++ b/node/run.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,14 +19,14 @@
 	envelope, err := n.openEnvelope(r.Header)
 	if err != nil {
 		writeReport(w.Header(), 0, 0)
-		n.refuseInput(w, "peer", "", err)
+		n.refusePeer(w, r, "", err)
 		return
 	}
 	w.Header().Set(headerRequest, string(envelope.ID()))
 	content, err := n.forwardedBody(w, r)
 	if err != nil {
 		writeReport(w.Header(), 0, envelope.Allowance())
-		n.refuseInput(w, "peer", envelope.ID(), err)
+		n.refusePeer(w, r, envelope.ID(), err)
 		return
 	}
 	x := n.open()
@@ -37,6 +35,14 @@
 	n.followRun(w, r, x, envelope, content)
 }
 
+// refusePeer refuses a forwarded request that cannot be read.
+func (n *Node) refusePeer(w http.ResponseWriter, r *http.Request, id jackdawbridge.RequestID, err error) {
+	n.metrics.count("bad_input_peer")
+	n.log.warn("node: bad input of a peer refused", "request", string(id), "from", r.RemoteAddr, "error", err)
+	w.Header().Set("Connection", "close")
+	writePeerRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
+}
+
 // forwardedBody reads a small body, so that the end of the connection is seen
 // while the request waits. A large one is not asked for before the request runs.
 func (n *Node) forwardedBody(w http.ResponseWriter, r *http.Request) (*body, error) {
@@ -83,6 +89,7 @@
 			case decideRefuse:
 				writeReport(w.Header(), d.level, d.unused)
 				n.refuse(w, d.refusal, content)
+				writePeerRefusal(w, d.refusal)
 				return
 			}
 		case <-r.Context().Done():
@@ -98,16 +105,22 @@
 // went.
 func (n *Node) run(r *http.Request, x *exchange, d decision, envelope jackdawbridge.Envelope, content *body) {
 	began := time.Now()
-	answer, failure := n.callBackend(r, x, d, envelope, content)
-	if failure == nil {
+	answer, refusal, failure := n.callBackend(r, x, d, envelope, content)
+	switch {
+	case failure == nil && refusal.Reason() != jackdawbridge.NoReason:
+		n.metrics.count("runs_rejected")
+		n.apply(jackdawbridge.NewRunRejected(n.now(), x.call, refusal.Reason()))
+	case failure == nil:
 		x.answer = answer
 		n.metrics.observe("run_milliseconds", time.Since(began))
 		n.apply(jackdawbridge.NewRunAnswered(n.now(), x.call, answer.StatusCode))
-		return
-	}
-	if r.Context().Err() != nil {
-		return
+	case r.Context().Err() == nil:
+		n.runFailed(x, envelope, failure)
 	}
+}
+
+// runFailed tells the reducer of a run without an answer.
+func (n *Node) runFailed(x *exchange, envelope jackdawbridge.Envelope, failure *hopError) {
 	outcome := jackdawbridge.Unknown
 	if !failure.connected {
 		outcome = jackdawbridge.NotRun
@@ -122,38 +135,43 @@
 }
 
 // callBackend sends a request to the own backend server and returns the head of
-// the answer.
-func (n *Node) callBackend(r *http.Request, x *exchange, d decision, envelope jackdawbridge.Envelope, content *body) (*http.Response, *hopError) {
+// the answer, or the refusal that it stands for.
+func (n *Node) callBackend(r *http.Request, x *exchange, d decision, envelope jackdawbridge.Envelope, content *body) (*http.Response, jackdawbridge.Refusal, *hopError) {
+	var none jackdawbridge.Refusal
 	ctx, ok := x.begin(r.Context(), 0)
 	if !ok {
-		return nil, &hopError{err: context.Canceled}
+		return nil, none, &hopError{err: context.Canceled}
 	}
-	transport, address, ok := n.backend.route()
+	transport, at, ok := n.backend.route()
 	if !ok {
-		return nil, &hopError{err: errors.New("no backend server")}
+		return nil, none, &hopError{err: errors.New("no backend server")}
 	}
-	u, err := requestURL(address, r.URL.EscapedPath(), r.URL.RawQuery)
+	u, err := requestURL(at.Address().String(), r.URL.EscapedPath(), r.URL.RawQuery)
 	if err != nil {
-		return nil, &hopError{err: err}
+		return nil, none, &hopError{err: err}
 	}
 	header := passedHeader(r.Header)
-	header.Set(headerToken, hex.EncodeToString(d.token[:]))
-	header.Set(headerTimeout, strconv.FormatInt(int64(d.budget), 10))
-	header.Set(headerRequest, string(envelope.ID()))
+	n.parts.dialect.Launch(header, jackdawbridge.NewLaunch(envelope, d.token, d.budget, at.Backend()))
 	reader, err := content.open(1)
 	if err != nil {
-		return nil, &hopError{err: err}
+		return nil, none, &hopError{err: err}
 	}
 	request := (&http.Request{Method: r.Method, URL: u, Host: r.Host, Header: header, ContentLength: content.length}).WithContext(ctx)
 	answer, failure := sendOnce(transport, request, reader)
 	if failure != nil {
-		return nil, failure
+		return nil, none, failure
+	}
+	refusal, refused, err := n.parts.dialect.Judge(answer, envelope.ID())
+	if err != nil || refused {
+		_ = answer.Body.Close()
+	}
+	if err != nil {
+		return nil, none, &hopError{err: err, connected: true}
 	}
-	if !framed(answer) {
-		drain(answer)
-		return nil, &hopError{err: errors.New("answer has no length, its end could not be told from a failure"), connected: true}
+	if refused {
+		return nil, refusal, nil
 	}
-	return answer, nil
+	return answer, none, nil
 }
 
 // deliverRun passes the answer of the own backend server on to the entry node.
--- a/outcome.go
+++ b/outcome.go
@@ -45,6 +45,7 @@
 	BackendDown
 	Cancelled
 	UpstreamsFull // all upstreams of the service have as many calls as connections
+	BackendFull   // the backend server saw the request and did not run it
 )
 
 // String returns the reason in lower case.
@@ -53,7 +54,7 @@
 		"invalid key", "unconfirmed key", "invalid token", "too deep", "over rate", "overloaded",
 		"deadline passed", "no upstream", "upstream failed", "draining", "quarantined",
 		"already running", "already ran", "in doubt", "home unreachable", "bad input",
-		"backend server down", "cancelled", "upstreams full")
+		"backend server down", "cancelled", "upstreams full", "backend server full")
 }
 
 // Refusal is the answer to a request that was not served.
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -28,6 +28,7 @@
 	id        jackdawbridge.CallID
 	request   *jackdawbridge.Request
 	envelope  jackdawbridge.Envelope // budget and allowance are set at each attempt
+	arrived   jackdawbridge.Millis
 	deadline  jackdawbridge.Millis
 	stage     stage
 	attempt   int // attempts made
@@ -69,6 +70,7 @@
 	c := p.free.Take()
 	c.id = e.Call()
 	c.request = request
+	c.arrived = p.r.now
 	c.deadline = p.r.now + request.Budget()
 	p.active[c.id] = c
 	p.deadlines.Set(c.id, c.deadline)
@@ -101,7 +103,14 @@
 		return reason
 	}
 	c.allowance = p.retries
-	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, c.request.Service(), route.Criticality(), c.request.Budget()).
+	if route.Attempts() > 0 {
+		c.allowance = route.Attempts() - 1
+	}
+	if route.Timeout() > 0 {
+		c.deadline = min(c.deadline, p.r.now+route.Timeout())
+		p.deadlines.Set(c.id, c.deadline)
+	}
+	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, p.r.routes.destination(c.request.Service(), route), route.Criticality(), c.request.Budget()).
 		WithBought(bought).
 		WithIdempotent(route.Idempotent())
 	return jackdawbridge.NoReason
@@ -124,7 +133,7 @@
 	c.deadline = min(c.deadline, parent.deadline)
 	p.deadlines.Set(c.id, c.deadline)
 	c.envelope = parent.envelope.
-		WithService(c.request.Service()).
+		WithService(p.r.routes.destination(c.request.Service(), route)).
 		WithDepth(parent.envelope.Depth() + 1).
 		WithIdempotent(route.Idempotent())
 	return jackdawbridge.NoReason
@@ -146,7 +155,7 @@
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
-	if c.envelope.Account() == "" {
+	if c.envelope.Account() == "" || p.r.settings.unlimited(c.envelope.Account()) {
 		p.start(c)
 		return
 	}
@@ -208,6 +217,9 @@
 	c.given = subtreeAllowance(c.allowance)
 	c.allowance -= c.given
 	envelope := c.envelope.WithBudget(c.deadline - p.r.now).WithAllowance(c.given)
+	if c.route.Objective() > 0 {
+		envelope = envelope.WithObjective(c.arrived + c.route.Objective() - p.r.now)
+	}
 	p.r.routes.began(c.target)
 	p.r.fx.Forward(c.id, c.attempt, target, envelope)
 	p.r.fx.Log(jackdawbridge.PartRoute, "forwarded to").About(c.request.ID(), c.target).With(string(c.envelope.Service()), int64(c.attempt))
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -111,6 +111,8 @@
 		r.runs.arrive(e)
 	case *jackdawbridge.RunAnswered:
 		r.runs.answered(e)
+	case *jackdawbridge.RunRejected:
+		r.runs.rejected(e)
 	case *jackdawbridge.RunFinished:
 		r.runs.finished(e)
 	case *jackdawbridge.BackendAnnounced:
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -53,6 +53,7 @@
 	seen       map[jackdawbridge.Node]*observation
 	subsets    map[jackdawbridge.ServiceName]*subset
 	levels     map[levelKey]*learnedLevel
+	splits     map[*jackdawbridge.Route]*division                // of routes with several destinations, at most maxSplits
 	avoided    map[jackdawbridge.DataCentre]jackdawbridge.Millis // until when
 	candidates []jackdawbridge.Candidate                         // reused by each pick
 	chosen     []*upstream                                       // reused by each pick, one for each candidate
@@ -65,6 +66,7 @@
 		seen:    make(map[jackdawbridge.Node]*observation),
 		subsets: make(map[jackdawbridge.ServiceName]*subset),
 		levels:  make(map[levelKey]*learnedLevel),
+		splits:  make(map[*jackdawbridge.Route]*division),
 		avoided: make(map[jackdawbridge.DataCentre]jackdawbridge.Millis),
 	}
 }
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -157,6 +157,19 @@
 	u.allowance = 0
 }
 
+// rejected refuses a request that the backend server did not run. The limiter
+// learns that it was given too many.
+func (p *runs) rejected(e *jackdawbridge.RunRejected) {
+	u, ok := p.active[e.Call()]
+	if !ok || u.state != runRunning {
+		return
+	}
+	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.level(u), u.allowance)
+	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused").About(u.envelope.ID(), p.r.self.Node()).With(e.Reason().String(), int64(p.running))
+	p.stop(u, true)
+	p.pump()
+}
+
 // finished frees the slot of a run that ended.
 func (p *runs) finished(e *jackdawbridge.RunFinished) {
 	u, ok := p.active[e.Call()]
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -168,6 +168,12 @@
 	return account.Name(), account.Bought(), jackdawbridge.NoReason
 }
 
+// unlimited reports whether the rate of an account is not enforced.
+func (p *settings) unlimited(name jackdawbridge.AccountName) bool {
+	account, ok := p.index.accounts[name]
+	return ok && account.Unlimited()
+}
+
 func (p *settings) state(name jackdawbridge.RecordName) *tableState {
 	if name == jackdawbridge.KeysTable {
 		return &p.keys
--- a/reducer/spread.go
+++ b/reducer/spread.go
@@ -122,7 +122,9 @@
 		since = 0
 	}
 	entries := s.table.Since(since)
-	if len(entries) > maxDeltaEntries {
+	// A table whose entries all changed may lack the tombstones of those that were
+	// removed: one that was read as a whole from a document has none.
+	if len(entries) > maxDeltaEntries || len(entries) == len(s.table.Entries()) {
 		since = 0
 		entries = s.table.Entries()
 	}
--- a/request.go
+++ b/request.go
@@ -87,7 +87,8 @@
 	allowance   int    // retries left for the call tree below
 	depth       int    // 0 for a caller's request, at most MaxDepth
 	fingerprint Fingerprint
-	alone       bool // suspected of crashing backend servers, runs alone
+	alone       bool   // suspected of crashing backend servers, runs alone
+	objective   Millis // left of the time within which an answer is worth most, 0 if unknown or over
 }
 
 // NewEnvelope returns the envelope of a caller's request.
@@ -139,6 +140,13 @@
 	return e
 }
 
+// WithObjective returns e with what is left of the time within which an answer
+// is worth most.
+func (e Envelope) WithObjective(left Millis) Envelope {
+	e.objective = max(left, 0)
+	return e
+}
+
 // ID returns the id of the request.
 func (e Envelope) ID() RequestID { return e.id }
 
@@ -169,5 +177,9 @@
 // Fingerprint returns the fingerprint of the request.
 func (e Envelope) Fingerprint() Fingerprint { return e.fingerprint }
 
+// Objective returns what is left of the time within which an answer is worth
+// most, 0 if that is unknown or over.
+func (e Envelope) Objective() Millis { return e.objective }
+
 // Alone reports whether the request must run alone.
 func (e Envelope) Alone() bool { return e.alone }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -64,6 +64,7 @@
 		Criticality: uint32(e.Criticality()), Bought: e.Bought(), Idempotent: e.Idempotent(),
 		Budget: int64(e.Budget()), Allowance: int64(e.Allowance()), Depth: int64(e.Depth()),
 		Fingerprint: uint64(e.Fingerprint()), Alone: e.Alone(),
+		Objective: int64(e.Objective()),
 	})
 	if err != nil {
 		return nil, errors.Errorf("encode envelope: %w", err)
@@ -82,7 +83,8 @@
 		jackdawbridge.RequestID(p.Id), jackdawbridge.AccountName(p.Account), jackdawbridge.ServiceName(p.Service),
 		enum[jackdawbridge.Criticality](&d, p.Criticality), jackdawbridge.Millis(p.Budget),
 	).WithBought(p.Bought).WithIdempotent(p.Idempotent).WithAllowance(int(p.Allowance)).
-		WithDepth(int(p.Depth)).WithFingerprint(jackdawbridge.Fingerprint(p.Fingerprint), p.Alone)
+		WithDepth(int(p.Depth)).WithFingerprint(jackdawbridge.Fingerprint(p.Fingerprint), p.Alone).
+		WithObjective(jackdawbridge.Millis(p.Objective))
 	if d.err == nil {
 		d.err = e.Check()
 	}
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -82,24 +82,39 @@
 		d.fail(err)
 		return nil
 	}
+	if p.GetUnlimited() {
+		a = a.WithoutLimit()
+	}
 	return a.WithBought(p.GetBought()).WithUnconfirmed(p.GetUnconfirmed())
 }
 
 func (d *decoder) service(p *pb.Service) *jackdawbridge.Service {
-	s, err := jackdawbridge.NewService(jackdawbridge.ServiceName(p.GetName()), each(p.GetRoutes(), func(r *pb.Route) *jackdawbridge.Route {
-		criticality := enum[jackdawbridge.Criticality](d, r.GetCriticality())
-		route, err := jackdawbridge.NewRoute(r.GetPrefix(), r.GetMethods(), criticality, r.GetIdempotent(), r.GetOpen())
-		if err != nil {
-			d.fail(err)
-		}
-		return route
-	}))
+	s, err := jackdawbridge.NewService(jackdawbridge.ServiceName(p.GetName()), each(p.GetRoutes(), d.route))
 	if err != nil {
 		d.fail(err)
 	}
 	return s
 }
 
+func (d *decoder) route(p *pb.Route) *jackdawbridge.Route {
+	criticality := enum[jackdawbridge.Criticality](d, p.GetCriticality())
+	route, err := jackdawbridge.NewRoute(p.GetPrefix(), p.GetMethods(), criticality, p.GetIdempotent(), p.GetOpen())
+	if err != nil {
+		d.fail(err)
+		return nil
+	}
+	destinations := each(p.GetDestinations(), func(q *pb.Destination) jackdawbridge.Destination {
+		destination, err := jackdawbridge.NewDestination(jackdawbridge.ServiceName(q.GetService()), int(q.GetWeight()))
+		if err != nil {
+			d.fail(err)
+		}
+		return destination
+	})
+	return route.WithDestinations(destinations).
+		WithTimes(jackdawbridge.Millis(p.GetTimeout()), jackdawbridge.Millis(p.GetObjective())).
+		WithAttempts(int(p.GetAttempts()))
+}
+
 func (d *decoder) key(p *pb.Key) *jackdawbridge.Key {
 	var hash jackdawbridge.KeyHash
 	if copy(hash[:], p.GetHash()); len(p.GetHash()) != len(hash) {
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -45,7 +45,7 @@
 	case e.Account() != nil:
 		a := e.Account()
 		p.Value = &pb.Entry_Account{Account: &pb.Account{
-			Name: string(a.Name()), Rate: a.Rate(), Burst: a.Burst(), Bought: a.Bought(), Unconfirmed: a.ServeUnconfirmed(),
+			Name: string(a.Name()), Rate: a.Rate(), Burst: a.Burst(), Bought: a.Bought(), Unconfirmed: a.ServeUnconfirmed(), Unlimited: a.Unlimited(),
 			Shares: each(a.Shares(), func(s jackdawbridge.Share) *pb.Share {
 				return &pb.Share{Centre: string(s.DataCentre()), Permille: int64(s.Permille())}
 			}),
@@ -58,6 +58,10 @@
 				return &pb.Route{
 					Prefix: r.Prefix(), Methods: r.Methods(), Criticality: uint32(r.Criticality()),
 					Idempotent: r.Idempotent(), Open: r.Open(),
+					Timeout: int64(r.Timeout()), Objective: int64(r.Objective()), Attempts: int64(r.Attempts()),
+					Destinations: each(r.Destinations(), func(d jackdawbridge.Destination) *pb.Destination {
+						return &pb.Destination{Service: string(d.Service()), Weight: int64(d.Weight())}
+					}),
 				}
 			}),
 		}}
