reducer: floors without a home, probes of silent upstreams, bounded retries

Cause: a data centre whose processes all ended refused its accounts, because the range record names holders that are gone and the new ones wait for proof; calls hung at upstreams behind a cut; the adaptive limiter took the time of calls that the platform does not tie to a run for latency of the backend server; watches of the platform that hear nothing hid a change for 4 s; six processes were killed at the end of the grace period.

Upstreams with calls in progress that send nothing are probed, and left out when they cannot be reached; calls that may run again go elsewhere. The admission level of services called without a token counts for all runs of the node.

Ruled out: shorter waits of the range record, since two holders could act; a bound by latency with the time of unlinked calls, which cannot be told apart.

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -30,6 +30,18 @@
 // minSecret is the least length of a fleet secret in bytes.
 const minSecret = 16
 
+const (
+	// drainPart is the percentage of the drain period in which a draining backend
+	// server still takes requests. The rest is for those on their way to it.
+	drainPart = 67
+	// slotsPart is the percentage of the announced slots that is used: a backend
+	// server slows down when it is nearly full.
+	slotsPart = 95
+	// gracePart is the percentage of the grace period after which a node ends.
+	// What kills a process at its end must not come first.
+	gracePart = 90
+)
+
 // nodeCommand runs a node.
 type nodeCommand struct {
 	platformFlags
@@ -59,6 +71,13 @@
 	Idle           time.Duration `default:"2m" help:"Time that a connection stays open without a request."`
 	Heartbeat      time.Duration `default:"3s" help:"Silence after which the backend server counts as lost."`
 	BackendIdle    time.Duration `default:"30s" help:"Time that a connection to the backend server stays open without a request."`
+	DrainPeriod    time.Duration `default:"3s" help:"Time after which a draining backend server gets no request."`
+	GracePeriod    time.Duration `default:"30s" help:"Time after which a stopping node ends, whatever is left to do."`
+	Confirm        time.Duration `default:"15s" help:"Time between two reads of the tables by a node that watches the platform."`
+	Limiter        string        `default:"adaptive" enum:"adaptive,slots" help:"How the concurrency of the backend server is bounded: adaptive by its latency, or by the slots that it announces."`
+	RetryPermille  int           `default:"200" help:"Retries that a node may send to a second backend server, for each thousand calls of a service."`
+	RetryBurst     int           `default:"10" help:"Retries of a service that a node may save up."`
+	Floors         bool          `help:"Let nodes spend a part of an account's rate while no home of their data centre answers."`
 	Linger         time.Duration `default:"2s" help:"Time between a stop and the end of the listeners."`
 	LogLevel       string        `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines: debug, info, warn or error."`
 }
@@ -101,7 +120,14 @@
 	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(self.Node().Instance(), uint64(p.clock.Now())), self.DataCentre(), self.Addresses())
 	var seed [32]byte
 	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
-	options := reducer.NewOptions(self, seed, picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(queueSize))
+	options := reducer.NewOptions(self, seed, picker.NewObserved(), c.newLimiter(), queue.NewPriority(queueSize)).
+		WithDrain(jackdawbridge.Millis((c.DrainPeriod * drainPart / 100).Milliseconds())).
+		WithConfirm(jackdawbridge.Millis(c.Confirm.Milliseconds())).
+		WithRetries(c.RetryPermille, c.RetryBurst).
+		WithStop(jackdawbridge.Millis((c.GracePeriod / 2).Milliseconds()))
+	if c.Floors {
+		options = options.WithFloors()
+	}
 	decisions, err := reducer.New(p.clock.Now(), options.WithJoins(joins))
 	if err != nil {
 		return errors.Errorf("start node: %w", err)
@@ -124,6 +150,14 @@
 	return nil
 }
 
+// newLimiter returns what bounds the concurrency of the backend server.
+func (c *nodeCommand) newLimiter() jackdawbridge.Limiter {
+	if c.Limiter == "slots" {
+		return limiter.NewPart(1, slotsPart)
+	}
+	return limiter.NewAdaptive(1)
+}
+
 // speak returns the protocol of callers and backend servers. With that of the
 // platform the tables come from there as well.
 func (c *nodeCommand) speak(p *parts) (jackdawbridge.Dialect, error) {
@@ -222,6 +256,9 @@
 		{"idle", c.Idle, time.Second},
 		{"heartbeat", c.Heartbeat, 100 * time.Millisecond},
 		{"backend-idle", c.BackendIdle, 10 * time.Millisecond},
+		{"confirm", c.Confirm, 100 * time.Millisecond},
+		{"drain-period", c.DrainPeriod, 0},
+		{"grace-period", c.GracePeriod, c.Linger},
 		{"linger", c.Linger, 0},
 	} {
 		if f.value < f.low || f.value > greatestTime {
@@ -236,6 +273,8 @@
 		{"body-bytes", c.BodyBytes, 0, 1 << 40},
 		{"body-rate", c.BodyRate, 1, 1 << 30},
 		{"max-conns", int64(c.MaxConns), 1, 1 << 20},
+		{"retry-permille", int64(c.RetryPermille), 0, 1000},
+		{"retry-burst", int64(c.RetryBurst), 0, 1000},
 	} {
 		if err := within(f.name, f.value, f.low, f.high); err != nil {
 			return none, err
@@ -247,5 +286,6 @@
 		WithConns(c.MaxConns, c.Idle).
 		WithBackendIdle(c.BackendIdle).
 		WithHeartbeat(c.Heartbeat).
+		WithGrace(c.GracePeriod * gracePart / 100).
 		WithLinger(c.Linger), nil
 }
--- a/message_share.go
+++ b/message_share.go
@@ -59,6 +59,7 @@
 	account AccountName
 	lot     int
 	after   Millis // until a token is due
+	closed  bool   // the node does not grant at present
 }
 
 // NewDeny returns the refusal of tokens, with the time until one is due.
@@ -78,6 +79,16 @@
 // After returns the time until a token is due.
 func (d *Deny) After() Millis { return d.after }
 
+// AsClosed marks d as the answer of a node that does not grant at present,
+// whatever tokens there are, and returns it.
+func (d *Deny) AsClosed() *Deny {
+	d.closed = true
+	return d
+}
+
+// Closed reports whether the node does not grant at present.
+func (d *Deny) Closed() bool { return d.closed }
+
 // Report tells a home what became of a grant. Both counts are cumulative, and
 // their sum never passes the granted tokens.
 type Report struct {
--- a/node/limits.go
+++ b/node/limits.go
@@ -19,6 +19,7 @@
 	backendIdle time.Duration // of a connection to the backend server
 	heartbeat   time.Duration // silence after which the backend server counts as lost
 	linger      time.Duration // between a stop and the end of the listeners
+	grace       time.Duration // between a stop and the end of the node
 }
 
 // DefaultLimits returns the limits of a node in production.
@@ -29,7 +30,7 @@
 		writeStall: 10 * time.Second,
 		conns:      4096, idle: 2 * time.Minute,
 		backendIdle: 30 * time.Second,
-		heartbeat:   3 * time.Second, linger: 2 * time.Second,
+		heartbeat:   3 * time.Second, linger: 2 * time.Second, grace: 30 * time.Second,
 	}
 }
 
@@ -79,3 +80,10 @@
 	l.linger = linger
 	return l
 }
+
+// WithGrace returns l with the time after which a stopping node ends, whatever
+// is left to do.
+func (l Limits) WithGrace(grace time.Duration) Limits {
+	l.grace = grace
+	return l
+}
--- a/node/listen.go
+++ b/node/listen.go
@@ -33,10 +33,6 @@
 	return Addresses{callers: callers, peers: peers, backend: backend, admin: admin}, nil
 }
 
-// shutdownLimit bounds the wait for requests in progress after the reducer has
-// found nothing left to do. Only their last bytes can be missing by then.
-const shutdownLimit = 30 * time.Second
-
 // settleTime is the time for handshakes that have begun to complete and for
 // their connections to be accepted. It is above the time of a round trip
 // between regions.
@@ -167,15 +163,14 @@
 	})
 }
 
-// shutdown ends the listeners without cutting a request. It lingers first:
-// callers that still have a connection get an answer that closes it.
+// shutdown ends the listeners without cutting a request, unless the context ends
+// before. It lingers first: callers that still have a connection get an answer
+// that closes it.
 //
 // Shutdown of http.Server is not used: it drops a request that it reads after
 // the shutdown has begun, also on a connection that was accepted before.
-func (n *Node) shutdown() {
-	n.pause(n.limits.linger)
-	ctx, cancel := context.WithTimeout(n.ctx, shutdownLimit)
-	defer cancel()
+func (n *Node) shutdown(ctx context.Context) {
+	n.pause(time.Until(n.stopped.Add(n.limits.linger)))
 	for _, s := range n.servers {
 		if err := stopHandshakes(s.listener); err != nil {
 			n.log.warn("node: connections may be cut at the end", "error", err)
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,8 @@
 	cancel   context.CancelFunc
 	exit     chan struct{} // closed by an Exit effect
 	stopping atomic.Bool
+	stop     chan struct{} // closed by Stop
+	stopped  time.Time     // of Stop, read after stop is closed
 
 	mu        sync.Mutex
 	transport jackdawbridge.Transport // nil until Start
@@ -84,6 +86,7 @@
 		upstreams: newUpstreamTransport(),
 		ctx:       ctx, cancel: cancel,
 		exit:      make(chan struct{}),
+		stop:      make(chan struct{}),
 		exchanges: make(map[jackdawbridge.CallID]*exchange),
 	}
 	n.backend = newBackend(n)
@@ -114,15 +117,25 @@
 	if n.stopping.Swap(true) {
 		return
 	}
+	n.stopped = time.Now()
+	close(n.stop)
 	n.log.info("node: stops")
 	n.apply(jackdawbridge.NewStopRequested(n.now()))
 }
 
 // Wait returns when the node has stopped: nothing is left to do, and the
-// listeners have ended without cutting a request.
+// listeners have ended without cutting a request. What is not done when the
+// grace period ends is cut.
 func (n *Node) Wait() {
-	<-n.exit
-	n.shutdown()
+	<-n.stop
+	ctx, cancel := context.WithDeadline(n.ctx, n.stopped.Add(n.limits.grace))
+	defer cancel()
+	select {
+	case <-n.exit:
+	case <-ctx.Done():
+		n.log.warn("node: work is left at the end of the grace period")
+	}
+	n.shutdown(ctx)
 	n.Close()
 }
 
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -21,7 +21,11 @@
 	h.Set(headerOutcome, refusal.Outcome().String())
 	h.Set(headerReason, refusal.Reason().String())
 	h.Set(headerAfter, strconv.FormatInt(int64(refusal.RetryAfter()), 10))
-	writeText(w, http.StatusServiceUnavailable, refusal)
+	status := http.StatusServiceUnavailable
+	if refusal.Reason() == jackdawbridge.BadInput {
+		status = http.StatusBadRequest
+	}
+	writeText(w, status, refusal)
 }
 
 func writeText(w http.ResponseWriter, status int, refusal jackdawbridge.Refusal) {
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -88,6 +88,10 @@
 			return
 		}
 		u := p.active[w.Call()]
+		if p.r.drain.refuses() {
+			p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.Draining))
+			continue
+		}
 		if u.deadline-p.r.now < p.pace(u).need(p.r.now) {
 			p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
 			continue
@@ -161,9 +165,12 @@
 }
 
 // level returns the admission level that goes back with a request: that of
-// this node, or a higher one of the services that the request needed.
+// this node, or a higher one of the services that the request needed. Calls
+// without a token are not tied to a request; their level counts for all that the
+// backend server runs.
 func (p *runs) level(u *run) jackdawbridge.Level {
-	return max(p.queue.Level(p.r.now), u.level)
+	below := jackdawbridge.Level(p.below.current(p.r.now) / levelUnit)
+	return max(p.queue.Level(p.r.now), u.level, below)
 }
 
 // byToken returns the run that a backend server's call belongs to.
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -51,13 +51,14 @@
 	r         *Reducer
 	active    map[jackdawbridge.CallID]*call // at most maxCalls
 	retries   int                            // allowance of a caller's request
+	budgets   budgets
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	pauses    heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free      *pool.Pool[call]
 }
 
 func newCalls(r *Reducer) calls {
-	return calls{r: r, retries: retryAllowance, active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
+	return calls{r: r, retries: retryAllowance, budgets: newBudgets(), active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
 }
 
 // arrive checks a request and starts it on its way.
@@ -74,6 +75,10 @@
 	c.deadline = p.r.now + request.Budget()
 	p.active[c.id] = c
 	p.deadlines.Set(c.id, c.deadline)
+	if p.r.drain.closed() {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Draining))
+		return
+	}
 	if reason := p.identify(c); reason != jackdawbridge.NoReason {
 		p.refuse(c, jackdawbridge.NotRunRefusal(reason))
 		return
@@ -151,7 +156,7 @@
 		p.start(c)
 		return
 	}
-	if p.sheds(c) {
+	if !c.internal() && p.sheds(c) {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
@@ -163,6 +168,14 @@
 	p.r.shares.take(c.id, c.envelope.Account())
 }
 
+// account returns the client account of a call, "" if it has ended.
+func (p *calls) account(id jackdawbridge.CallID) jackdawbridge.AccountName {
+	if c, ok := p.active[id]; ok {
+		return c.envelope.Account()
+	}
+	return ""
+}
+
 // funded goes on with a call whose account has paid for it.
 func (p *calls) funded(id jackdawbridge.CallID) {
 	if c, ok := p.active[id]; ok && c.stage == stageToken {
@@ -220,6 +233,9 @@
 	if c.route.Objective() > 0 {
 		envelope = envelope.WithObjective(c.arrived + c.route.Objective() - p.r.now)
 	}
+	if c.attempt == 1 {
+		p.budgets.earn(c.envelope.Service())
+	}
 	p.r.routes.began(c.target)
 	p.r.fx.Forward(c.id, c.attempt, target, envelope)
 	p.r.fx.Log(jackdawbridge.PartRoute, "forwarded to").About(c.request.ID(), c.target).With(string(c.envelope.Service()), int64(c.attempt))
@@ -232,6 +248,9 @@
 		return
 	}
 	p.r.routes.ended(c.target, p.r.now-c.sent, e.Outcome(), e.Reason())
+	if e.Outcome() == jackdawbridge.Served {
+		p.r.routes.reached(c.target)
+	}
 	p.learn(c, e.Level())
 	if e.Refused() {
 		p.r.members.refused(c.target)
@@ -246,7 +265,7 @@
 	}
 	c.doubtful = c.doubtful || e.Outcome() == jackdawbridge.Unknown
 	if p.mayRetry(c, e.Outcome(), e.Reason()) {
-		p.retry(c, e.Reason())
+		p.retry(c, e.Outcome(), e.Reason())
 		return
 	}
 	p.refuse(c, p.failure(c, e.Reason()))
@@ -370,6 +389,11 @@
 	p.refuse(c, p.failure(c, jackdawbridge.DeadlinePassed))
 }
 
+// internal reports whether a call is taken for one that the own backend server
+// makes for a request that it runs: it is on an open route, without a key or a
+// token. To refuse it wastes the work of that request.
+func (c *call) internal() bool { return !c.child && c.envelope.Account() == "" }
+
 // fingerprint returns the digest by which a repeated request is known again.
 func (p *calls) fingerprint(c *call) jackdawbridge.Fingerprint {
 	f := xxhash.Sum64String(string(c.envelope.Account()))
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -7,8 +7,10 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/limiter"
 	"github.com/jackdawbridge/jackdawbridge/picker"
@@ -110,6 +112,7 @@
 // harness drives a few reducers in virtual time over a fake link and a fake
 // platform. Everything is deterministic.
 type harness struct {
+	options []datadriven.CmdArg // of nodes that start from now on
 	now        jackdawbridge.Millis
 	timeline   timeline
 	sequence   int
@@ -205,7 +208,7 @@
 	}
 	pick, limit, wait := h.strategies()
 	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), pick, limit, wait)
-	r, err := New(h.now+skew, options.WithJoins(peers))
+	r, err := New(h.now+skew, h.adjust(options).WithJoins(peers))
 	if err != nil {
 		panic(err)
 	}
@@ -222,6 +225,31 @@
 	return n
 }
 
+// adjust applies the options that a script has set.
+func (h *harness) adjust(options Options) Options {
+	for _, a := range h.options {
+		n := 0
+		if len(a.Vals) > 0 {
+			n, _ = strconv.Atoi(a.Vals[0])
+		}
+		switch a.Key {
+		case "floors":
+			options = options.WithFloors()
+		case "drain":
+			options = options.WithDrain(jackdawbridge.Millis(n))
+		case "stop":
+			options = options.WithStop(jackdawbridge.Millis(n))
+		case "confirm":
+			options = options.WithConfirm(jackdawbridge.Millis(n))
+		case "retries":
+			options = options.WithRetries(0, n)
+		default:
+			panic("unknown option " + a.Key)
+		}
+	}
+	return options
+}
+
 // apply feeds one event to a node and executes the effects.
 func (n *fakeNode) apply(event func(at jackdawbridge.Millis) jackdawbridge.Event) {
 	if !n.alive {
--- a/reducer/home.go
+++ b/reducer/home.go
@@ -183,13 +183,17 @@
 		b = p.bucketOf(l, i, since)
 	}
 	if b == nil || len(p.home.grants) >= maxGrants || p.behind() {
-		p.post(from, jackdawbridge.NewDeny(m.ID(), m.Account(), m.Lot(), notHome))
+		p.post(from, jackdawbridge.NewDeny(m.ID(), m.Account(), m.Lot(), notHome).AsClosed())
 		return
 	}
 	b.accrue(p.r.now)
 	tokens := min(m.Want(), b.level/micro)
 	if tokens < 1 || p.r.now < b.opens {
-		p.post(from, jackdawbridge.NewDeny(m.ID(), m.Account(), m.Lot(), b.denial(p.r.now)))
+		deny := jackdawbridge.NewDeny(m.ID(), m.Account(), m.Lot(), b.denial(p.r.now))
+		if p.r.now < b.opens {
+			deny = deny.AsClosed()
+		}
+		p.post(from, deny)
 		return
 	}
 	b.granted = true
--- a/reducer/level.go
+++ b/reducer/level.go
@@ -48,9 +48,14 @@
 		l = &learnedLevel{}
 		p.levels[key] = l
 	}
-	l.level = l.current(p.r.now)
+	l.learn(p.r.now, level)
+}
+
+// learn takes note of a level.
+func (l *learnedLevel) learn(now jackdawbridge.Millis, level jackdawbridge.Level) {
+	l.level = l.current(now)
 	l.level += (int(level)*levelUnit - l.level) >> levelShift
-	l.at = p.r.now
+	l.at = now
 }
 
 // current returns the level after its decay.
--- a/reducer/observation.go
+++ b/reducer/observation.go
@@ -37,6 +37,7 @@
 	last       jackdawbridge.Millis // when it was last in the subset
 	level      jackdawbridge.Level  // that it told last
 	levelAt    jackdawbridge.Millis
+	reach      reach
 }
 
 // listed takes note that the upstream is in the subset.
--- a/reducer/probe.go
+++ b/reducer/probe.go
@@ -55,6 +55,7 @@
 	probeMember  probePurpose = iota // of the own data centre
 	probeRelay                       // for another node
 	probeRegion                      // of another data centre
+	probeReach                       // of an upstream that is silent
 	probeConfirm                     // only the digest of the answer matters
 )
 
@@ -224,6 +225,10 @@
 
 // unanswered takes note that a probe failed in every way.
 func (p *members) unanswered(probe *pendingProbe) {
+	if probe.purpose == probeReach {
+		p.r.routes.missed(probe.target.Node())
+		return
+	}
 	if probe.purpose == probeRegion {
 		p.regions.unanswered(probe.target.DataCentre())
 		return
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -31,6 +31,11 @@
 	picker  jackdawbridge.Picker
 	limiter jackdawbridge.Limiter
 	queue   jackdawbridge.Queue
+	floors  bool                 // nodes spend a part of a rate while no home answers
+	drain   jackdawbridge.Millis // time in which a draining backend server or node still takes requests
+	confirm jackdawbridge.Millis // between two reads of a watcher while no account needs confirmation
+	retries budgets              // without what is left
+	stop    jackdawbridge.Millis // time in which a stopping node takes new calls
 }
 
 // NewOptions returns the options of a node with the given strategies.
@@ -38,7 +43,22 @@
 	self jackdawbridge.Peer, seed [32]byte,
 	picker jackdawbridge.Picker, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue,
 ) Options {
-	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue}
+	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue, drain: drainGrace, stop: drainLimit, confirm: idleConfirmInterval, retries: newBudgets()}
+}
+
+// WithFloors returns o for nodes that spend a part of an account's rate by
+// themselves while no home of their data centre answers. An account may then get
+// more than its rate while nodes are cut off.
+func (o Options) WithFloors() Options {
+	o.floors = true
+	return o
+}
+
+// WithDrain returns o with the time in which a draining backend server or node
+// still takes requests, while the other nodes learn that it drains.
+func (o Options) WithDrain(span jackdawbridge.Millis) Options {
+	o.drain = span
+	return o
 }
 
 // WithJoins returns o with peers to join, known from settings. Only their
@@ -48,6 +68,27 @@
 	return o
 }
 
+// WithConfirm returns o with the time between two reads of the tables by a
+// watcher. It bounds how long a change stays unknown when watches tell nothing.
+func (o Options) WithConfirm(span jackdawbridge.Millis) Options {
+	o.confirm = span
+	return o
+}
+
+// WithRetries returns o with the part of a service's calls, in permille, that a
+// node may send to a second backend server, and how many it may save up.
+func (o Options) WithRetries(permille, burst int) Options {
+	o.retries.permille, o.retries.burst = permille, burst
+	return o
+}
+
+// WithStop returns o with the time in which a stopping node takes new calls and
+// waits for others to take over what it holds.
+func (o Options) WithStop(span jackdawbridge.Millis) Options {
+	o.stop = span
+	return o
+}
+
 // Reducer holds the whole state of a node.
 type Reducer struct {
 	self   jackdawbridge.Peer // as announced; state and version change
@@ -80,15 +121,18 @@
 	}
 	r := &Reducer{self: options.self, now: at, random: rand.NewChaCha8(options.seed)}
 	r.calls = newCalls(r)
+	r.calls.budgets.permille, r.calls.budgets.burst = options.retries.permille, options.retries.burst
 	r.runs = newRuns(r, options.limiter, options.queue)
 	r.routes = newRoutes(r, options.picker)
 	r.shares = newShares(r)
+	r.shares.floors = options.floors
 	r.once = newOnce(r)
 	r.members = newMembers(r, options.joins)
 	r.settings = newSettings(r)
+	r.settings.idle = options.confirm
 	r.authority = newAuthority(r)
 	r.quarantine = newQuarantine(r)
-	r.drain = newDrain(r)
+	r.drain = newDrain(r, options.drain, options.stop)
 	return r, nil
 }
 
@@ -140,6 +184,7 @@
 		r.now+tickInterval,
 		r.calls.wake(),
 		r.runs.wake(),
+		r.routes.wake(),
 		r.shares.wake(),
 		r.once.wake(),
 		r.members.wake(),
@@ -169,6 +214,7 @@
 func (r *Reducer) tick() {
 	r.calls.tick()
 	r.runs.tick()
+	r.routes.tickReach()
 	r.shares.tick()
 	r.once.tick()
 	r.members.tick()
@@ -188,6 +234,7 @@
 	r.settings.heard(from, frame.Digest())
 	r.authority.heard(from, frame.Digest())
 	r.shares.heard(from, frame.Digest())
+	r.routes.reached(from.Node())
 	switch m := frame.Message().(type) {
 	case *jackdawbridge.Probe:
 		r.members.probe(from, m)
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -25,10 +25,13 @@
 	if outcome != jackdawbridge.NotRun && !c.envelope.Idempotent() {
 		return false
 	}
+	if seen(outcome, reason) && !p.budgets.allows(c.envelope.Service()) {
+		return false
+	}
 	switch reason {
 	case jackdawbridge.Overloaded:
 		return !p.sheds(c) && c.deadline > p.r.now+pauseMin+pauseSpan
-	case jackdawbridge.Draining, jackdawbridge.BackendDown, jackdawbridge.NotReady,
+	case jackdawbridge.Draining, jackdawbridge.BackendDown, jackdawbridge.NotReady, jackdawbridge.BackendFull,
 		jackdawbridge.UpstreamFailed, jackdawbridge.UnknownService:
 		return true
 	}
@@ -36,9 +39,17 @@
 	return false
 }
 
+// seen reports whether a backend server may have seen an attempt that failed.
+func seen(outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) bool {
+	return outcome != jackdawbridge.NotRun || reason == jackdawbridge.BackendFull
+}
+
 // retry sends a call again, after a pause if the upstream was overloaded.
-func (p *calls) retry(c *call, reason jackdawbridge.Reason) {
+func (p *calls) retry(c *call, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) {
 	c.allowance--
+	if seen(outcome, reason) {
+		p.budgets.spend(c.envelope.Service())
+	}
 	p.r.fx.Log(jackdawbridge.PartRetry, "retries, retries left").About(c.request.ID(), c.target).With(reason.String(), int64(c.allowance))
 	if reason != jackdawbridge.Overloaded {
 		p.forward(c)
@@ -75,6 +86,9 @@
 // to the entry of a backend server's call with the answer of the run.
 func (p *calls) learn(c *call, level jackdawbridge.Level) {
 	p.r.routes.learn(c.target, c.levelKey(), level)
+	if c.internal() {
+		p.r.runs.below.learn(p.r.now, level)
+	}
 	if u, ok := p.r.runs.active[c.parent]; c.child && ok {
 		u.level = max(u.level, level)
 	}
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -54,6 +54,8 @@
 	subsets    map[jackdawbridge.ServiceName]*subset
 	levels     map[levelKey]*learnedLevel
 	splits     map[*jackdawbridge.Route]*division                // of routes with several destinations, at most maxSplits
+	reachDue   jackdawbridge.Millis                              // of the next look at the silent upstreams
+	anyLost    bool                                              // some upstream was unreachable then
 	avoided    map[jackdawbridge.DataCentre]jackdawbridge.Millis // until when
 	candidates []jackdawbridge.Candidate                         // reused by each pick
 	chosen     []*upstream                                       // reused by each pick, one for each candidate
@@ -139,6 +141,7 @@
 		switch {
 		case u.peer.Node() == last,
 			o.inFlight >= max(u.peer.Conns(), 1),
+			o.reach.lost,
 			!floor && o.ejected(p.r.now),
 			o.admits(p.r.now) > level,
 			level < jackdawbridge.MaxRank && p.avoids(u.peer.DataCentre()):
@@ -221,6 +224,7 @@
 	for i := range list {
 		list[i].seen = p.observed(list[i].peer.Node())
 		list[i].seen.dc = list[i].peer.DataCentre()
+		list[i].seen.reach.peer = list[i].peer
 		list[i].seen.listed(p.r.now)
 	}
 	return list
@@ -244,7 +248,13 @@
 }
 
 // began takes note of an attempt that goes to an upstream.
-func (p *routes) began(node jackdawbridge.Node) { p.observed(node).inFlight++ }
+func (p *routes) began(node jackdawbridge.Node) {
+	o := p.observed(node)
+	if o.inFlight == 0 {
+		o.reach.busy = p.r.now
+	}
+	o.inFlight++
+}
 
 // ended takes note of how an attempt at an upstream ended.
 func (p *routes) ended(node jackdawbridge.Node, latency jackdawbridge.Millis, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) {
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -43,8 +43,9 @@
 	running   int                           // at most the limiter's limit
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	free      *pool.Pool[run]
-	held      *run // must run alone and waits until nothing else runs
-	solo      *run // runs alone
+	below     learnedLevel // of the services that the backend server calls without a token
+	held      *run         // must run alone and waits until nothing else runs
+	solo      *run         // runs alone
 	paces     [jackdawbridge.MaxClass + 1]pace
 }
 
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -63,6 +63,8 @@
 		return fmt.Sprint(h.nodes[arg(d, "node", "")].exited), nil
 	case "stop":
 		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewStopRequested(at) })
+	case "options":
+		h.options = append(h.options, d.CmdArgs...)
 	case "skew":
 		h.skews[arg(d, "node", "")] = jackdawbridge.Millis(number(d, "ms", 0))
 	case "home":
@@ -175,7 +177,7 @@
 // configure publishes accounts, routes and keys, one a line:
 //
 //	account NAME RATE BURST DC:PERMILLE,... [bought] [refuse]
-//	route SERVICE PREFIX CRITICALITY [idempotent] [open]
+//	route SERVICE PREFIX CRITICALITY [idempotent] [open] [to=SERVICE:WEIGHT,...] [timeout=MS] [attempts=N]
 //	key KEY ACCOUNT
 func (h *harness) configure(input string) (string, error) {
 	h.config, h.keys = nil, nil
@@ -190,7 +192,7 @@
 			var c jackdawbridge.Criticality
 			var route *jackdawbridge.Route
 			if c, err = jackdawbridge.ParseCriticality(f[3]); err == nil {
-				route, err = jackdawbridge.NewRoute(f[2], nil, c, slices.Contains(f, "idempotent"), slices.Contains(f, "open"))
+				route, err = newRoute(f, c)
 			}
 			routes[f[1]] = append(routes[f[1]], route)
 		case "key":
@@ -213,6 +215,37 @@
 	return "", nil
 }
 
+// newRoute returns the route of a line of configure.
+func newRoute(f []string, c jackdawbridge.Criticality) (*jackdawbridge.Route, error) {
+	route, err := jackdawbridge.NewRoute(f[2], nil, c, slices.Contains(f, "idempotent"), slices.Contains(f, "open"))
+	if err != nil {
+		return nil, err
+	}
+	for _, field := range f[4:] {
+		name, value, _ := strings.Cut(field, "=")
+		n, _ := strconv.Atoi(value)
+		switch name {
+		case "timeout":
+			route = route.WithTimes(jackdawbridge.Millis(n), 0)
+		case "attempts":
+			route = route.WithAttempts(n)
+		case "to":
+			var destinations []jackdawbridge.Destination
+			for _, part := range strings.Split(value, ",") {
+				service, weight, _ := strings.Cut(part, ":")
+				n, _ := strconv.Atoi(weight)
+				d, err := jackdawbridge.NewDestination(jackdawbridge.ServiceName(service), n)
+				if err != nil {
+					return nil, err
+				}
+				destinations = append(destinations, d)
+			}
+			route = route.WithDestinations(destinations)
+		}
+	}
+	return route, nil
+}
+
 func (h *harness) addAccount(f []string) error {
 	rate, _ := strconv.ParseInt(f[2], 10, 64)
 	burst, _ := strconv.ParseInt(f[3], 10, 64)
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -23,7 +23,7 @@
 	// confirmInterval is the time between two reads of a watcher while an account
 	// is refused without confirmation. Two may fail within unconfirmedLimit.
 	confirmInterval = 3 * jackdawbridge.Second
-	// idleConfirmInterval replaces it while no account needs confirmation; the
+	// idleConfirmInterval is the default while no account needs confirmation; the
 	// reads only repair a watch whose answer was lost.
 	idleConfirmInterval = 15 * jackdawbridge.Second
 	// unconfirmedLimit is the age of the last confirmation from which accounts
@@ -86,6 +86,7 @@
 	keys   tableState
 	index  index
 	spread spread
+	idle   jackdawbridge.Millis // between two reads of a watcher while no account needs confirmation
 }
 
 func newSettings(r *Reducer) settings {
@@ -95,6 +96,7 @@
 		keys:   tableState{name: jackdawbridge.KeysTable, retry: storeRetry},
 		index:  newIndex(),
 		spread: newSpread(r.now),
+		idle:   idleConfirmInterval,
 	}
 }
 
@@ -303,7 +305,7 @@
 	if p.index.refusing > 0 {
 		return confirmInterval
 	}
-	return idleConfirmInterval
+	return p.idle
 }
 
 // thaw makes the node ask peers and the platform again after the process was
--- a/reducer/share.go
+++ b/reducer/share.go
@@ -46,6 +46,9 @@
 	configs  map[jackdawbridge.DataCentre]uint64 // newest revision that a data centre has heard of
 	home     home
 
+	floors bool // nodes spend a part of a share by themselves while no home answers
+	size   size
+
 	newest      uint64               // newest revision of the configuration heard of
 	behindSince jackdawbridge.Millis // when newest passed the own revision
 
@@ -91,7 +94,7 @@
 		return
 	}
 	if w.denied > p.r.now+maxWait || len(w.waiting) >= maxWaiting {
-		p.r.calls.unfunded(call, max(w.denied-p.r.now, maxWait))
+		p.refuse(call, w, max(w.denied-p.r.now, maxWait))
 		return
 	}
 	w.waiting = append(w.waiting, call)
@@ -175,7 +178,7 @@
 	w.waiting = nil
 	for _, call := range waiting {
 		p.waits.Remove(call)
-		p.r.calls.unfunded(call, w.denied-p.r.now)
+		p.refuse(call, w, w.denied-p.r.now)
 	}
 }
 
@@ -220,6 +223,7 @@
 	}
 	w := a.wallet
 	w.denied = 0
+	p.answers(a, 0)
 	if m.Tokens() < a.want {
 		p.pause(a, emptyPause)
 	}
@@ -247,8 +251,20 @@
 // deny takes note that a home has no tokens.
 func (p *shares) deny(from jackdawbridge.Peer, m *jackdawbridge.Deny) {
 	a, ok := p.answered(from, m.ID(), m.Account(), m.Lot())
-	if ok {
-		p.pass(a, max(m.After(), 1))
+	if !ok {
+		return
+	}
+	if !m.Closed() {
+		p.answers(a, m.After())
+	}
+	p.pass(a, max(m.After(), 1))
+}
+
+// answers takes note that a home of the own data centre acts. Its answer holds
+// for the given time.
+func (p *shares) answers(a asked, span jackdawbridge.Millis) {
+	if a.home.DataCentre() == p.r.self.DataCentre() {
+		a.wallet.heard = max(a.wallet.heard, p.r.now+span)
 	}
 }
 
@@ -364,10 +380,21 @@
 		if !ok || at > p.r.now {
 			return
 		}
-		// The end of the call removes it from its wallet.
-		p.r.calls.unfunded(call, maxWait)
-		p.waits.Remove(call)
+		p.overdue(call)
+	}
+}
+
+// overdue ends the wait of a call for a token.
+func (p *shares) overdue(call jackdawbridge.CallID) {
+	w := p.wallets[p.r.calls.account(call)]
+	if w != nil && p.spendFloor(w) {
+		p.forget(call, w.account)
+		p.r.calls.funded(call)
+		return
 	}
+	// The end of the call removes it from its wallet.
+	p.r.calls.unfunded(call, maxWait)
+	p.waits.Remove(call)
 }
 
 // expire ends what is too old: asks without an answer, and grants.
--- a/reducer/wallet.go
+++ b/reducer/wallet.go
@@ -46,9 +46,11 @@
 	waiting []jackdawbridge.CallID
 	asking  jackdawbridge.GrantID // 0 if no Ask is out
 	denied  jackdawbridge.Millis  // no home is asked before
-	begun   jackdawbridge.Millis  // of the current window
-	count   int64                 // arrivals in the current window
-	recent  int64                 // smoothed arrivals of a window
+	heard   jackdawbridge.Millis  // until when the home of the own data centre was known to act
+	floor   floor
+	begun   jackdawbridge.Millis // of the current window
+	count   int64                // arrivals in the current window
+	recent  int64                // smoothed arrivals of a window
 }
 
 // walletOf returns the wallet of an account, nil if it has no plan.
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -262,7 +262,11 @@
 		return jackdawbridge.NewGrant(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetTokens())
 	case *pb.Frame_Deny:
 		p := m.Deny
-		return jackdawbridge.NewDeny(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), jackdawbridge.Millis(p.GetAfter()))
+		deny := jackdawbridge.NewDeny(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), jackdawbridge.Millis(p.GetAfter()))
+		if p.GetClosed() {
+			deny = deny.AsClosed()
+		}
+		return deny
 	case *pb.Frame_Report:
 		p := m.Report
 		return jackdawbridge.NewReport(jackdawbridge.GrantID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), int(p.GetLot()), p.GetSpent(), p.GetReturned())
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -143,7 +143,7 @@
 	case *jackdawbridge.Grant:
 		f.Message = &pb.Frame_Grant{Grant: &pb.Ask{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), Tokens: m.Tokens()}}
 	case *jackdawbridge.Deny:
-		f.Message = &pb.Frame_Deny{Deny: &pb.Deny{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), After: int64(m.After())}}
+		f.Message = &pb.Frame_Deny{Deny: &pb.Deny{Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), After: int64(m.After()), Closed: m.Closed()}}
 	case *jackdawbridge.Report:
 		f.Message = &pb.Frame_Report{Report: &pb.Report{
 			Id: uint64(m.ID()), Account: string(m.Account()), Lot: int64(m.Lot()), Spent: m.Spent(), Returned: m.Returned(),
