--- a/reducer/call.go
+++ b/reducer/call.go
@@ -297,7 +297,8 @@
 // refuse answers a call with a refusal and ends it.
 func (p *calls) refuse(c *call, refusal jackdawbridge.Refusal) {
 	p.r.fx.Refuse(c.id, refusal, 0, 0)
-	p.r.fx.Log(jackdawbridge.PartCall, "refused").About(c.request.ID(), c.target).With(refusal.Reason().String(), 0)
+	p.r.fx.Log(jackdawbridge.PartCall, "refused, for account").About(c.request.ID(), c.target).
+		With(refusal.Reason().String()+", "+string(c.envelope.Account()), int64(refusal.RetryAfter()))
 	p.end(c, refusal.Outcome())
 }
 
