reducer, clock: refuse forwarded requests that were held up, and read suspensions

The clock took a step of the wall clock above 1 s for a suspension.

Change: an envelope names its sender and when it was sent; the upstream's node refuses as not run what took 400 ms longer than the fastest request of that sender, which cancels the difference of the clocks. Suspensions are read from CLOCK_BOOTTIME when wall and monotonic clock disagree. The timer of a node is set only when the next step comes sooner, and each text has at most 20 log lines a second with a count of those left out. Probes of silent upstreams go out in a fixed order.

Tests: testdata/transit (ran: executions 10, now 5), clock/testdata/system with a step of a minute (1065860 before), TestLogVolume. testdata/reach: 84 executions, was 87, since a frozen node runs no late request.

--- a/check.go
+++ b/check.go
@@ -101,6 +101,8 @@
 	c.within(int64(e.allowance), 0, maxAllowance, "allowance")
 	c.within(int64(e.depth), 0, MaxDepth, "depth")
 	c.within(int64(e.objective), 0, int64(maxSpan), "objective")
+	c.optional(string(e.sender.instance), "sender")
+	c.within(int64(e.sent), 0, int64(maxInstant), "time of sending")
 	return c.err
 }
 
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -8,10 +8,10 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestSystem guards against a clock that follows corrections of the wall clock
-// or misses a suspended machine.
+// TestSystem guards against a clock that follows corrections of the wall clock,
+// takes a step of it for a suspension, or misses a suspended machine.
 func TestSystem(t *testing.T) {
-	var wall, mono time.Duration
+	var wall, mono, boot time.Duration
 	var s *System
 	datadriven.RunTest(t, "testdata/system", func(t *testing.T, d *datadriven.TestData) string {
 		var byWall, byMono string
@@ -19,8 +19,11 @@
 		d.ScanArgs(t, "mono", &byMono)
 		wall += duration(t, d, byWall)
 		mono += duration(t, d, byMono)
+		byBoot := byMono
+		d.MaybeScanArgs(t, "boot", &byBoot)
+		boot += duration(t, d, byBoot)
 		if s == nil {
-			s = start(func() (time.Duration, time.Duration) { return wall, mono })
+			s = start(func() (time.Duration, time.Duration) { return wall, mono }, func() time.Duration { return boot })
 		}
 		return strconv.FormatInt(int64(s.Now()), 10)
 	})
--- a/node/caller.go
+++ b/node/caller.go
@@ -32,7 +32,7 @@
 	began := time.Now()
 	in, err := n.readCall(w, r, child)
 	if err != nil {
-		n.refuseInput(w, r, "", err)
+		n.refuseInput(w, r, child, err)
 		return
 	}
 	w.Header().Set(headerRequest, string(in.head.Request().ID()))
@@ -59,9 +59,13 @@
 
 // refuseInput refuses a request that cannot be read. Its connection ends,
 // because the rest of the request may still be on it.
-func (n *Node) refuseInput(w http.ResponseWriter, r *http.Request, id jackdawbridge.RequestID, err error) {
-	n.metrics.count("bad_input")
-	n.log.warn("node: bad input refused", "request", string(id), "from", r.RemoteAddr, "error", err)
+func (n *Node) refuseInput(w http.ResponseWriter, r *http.Request, child bool, err error) {
+	listener := "caller"
+	if child {
+		listener = "backend"
+	}
+	n.metrics.count("bad_input_" + listener)
+	n.log.warn("node: bad input refused", "listener", listener, "from", r.RemoteAddr, "error", err)
 	w.Header().Set("Connection", "close")
 	n.writeRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
 }
--- a/node/log.go
+++ b/node/log.go
@@ -10,6 +10,15 @@
 	"github.com/jackdawbridge/jackdawbridge"
 )
 
+const (
+	// lineRate bounds the lines of one text in a second. A busy node makes
+	// thousands of decisions a second, and a line costs about as much processor
+	// time as a decision.
+	lineRate = 20
+	// maxTexts bounds the texts whose lines are counted; there are about a hundred.
+	maxTexts = 1024
+)
+
 // logBuffer is the number of lines that wait for a slow output. Effects are
 // executed under the node's mutex, so a line that finds no room is dropped and
 // counted.
@@ -24,10 +33,20 @@
 
 	mu     sync.RWMutex
 	closed bool
+
+	countMu sync.Mutex
+	volumes map[string]*volume // by text, at most maxTexts
+}
+
+// volume counts the lines of one text in the current second.
+type volume struct {
+	second  int64 // Unix time
+	lines   int
+	omitted int64 // lines left out since the last one that was written
 }
 
 func newLogWriter(logger *slog.Logger) *logWriter {
-	l := &logWriter{handler: logger.Handler(), lines: make(chan slog.Record, logBuffer), done: make(chan struct{})}
+	l := &logWriter{handler: logger.Handler(), lines: make(chan slog.Record, logBuffer), done: make(chan struct{}), volumes: make(map[string]*volume)}
 	go l.run()
 	return l
 }
@@ -58,8 +77,16 @@
 	if !l.handler.Enabled(context.Background(), level) {
 		return
 	}
-	line := slog.NewRecord(time.Now(), level, text, 0)
+	now := time.Now()
+	omitted, ok := l.admit(text, now.Unix())
+	if !ok {
+		return
+	}
+	line := slog.NewRecord(now, level, text, 0)
 	line.Add(args...)
+	if omitted > 0 {
+		line.Add("omitted", omitted)
+	}
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	if l.closed {
@@ -72,6 +99,32 @@
 	}
 }
 
+// admit reports whether a line of a text may be written, and how many lines were
+// left out before it.
+func (l *logWriter) admit(text string, second int64) (omitted int64, ok bool) {
+	l.countMu.Lock()
+	defer l.countMu.Unlock()
+	v := l.volumes[text]
+	if v == nil {
+		if len(l.volumes) >= maxTexts {
+			clear(l.volumes)
+		}
+		v = &volume{}
+		l.volumes[text] = v
+	}
+	if v.second != second {
+		v.second, v.lines = second, 0
+	}
+	if v.lines >= lineRate {
+		v.omitted++
+		l.dropped.Add(1)
+		return 0, false
+	}
+	v.lines++
+	omitted, v.omitted = v.omitted, 0
+	return omitted, true
+}
+
 // effect writes the line of a decision with its part as prefix.
 func (l *logWriter) effect(e *jackdawbridge.Log) {
 	level := slog.LevelInfo
--- a/node/node.go
+++ b/node/node.go
@@ -68,7 +68,8 @@
 	effects   jackdawbridge.Effects
 	exchanges map[jackdawbridge.CallID]*exchange // requests in progress at any listener
 	lastCall  jackdawbridge.CallID
-	timer     *time.Timer // for the next Tick
+	timer     *time.Timer          // for the next Tick
+	armed     jackdawbridge.Millis // when it fires
 	exited    bool
 }
 
@@ -174,7 +175,14 @@
 
 func (n *Node) now() jackdawbridge.Millis { return n.parts.clock.Now() }
 
-func (n *Node) tick() { n.apply(jackdawbridge.NewTick(n.now())) }
+// tick takes the step that the timer is set for. The timer may fire a little
+// early by the node's clock, so it counts as not set from here on.
+func (n *Node) tick() {
+	n.mu.Lock()
+	n.armed = 0
+	n.mu.Unlock()
+	n.apply(jackdawbridge.NewTick(n.now()))
+}
 
 // apply feeds one event to the reducer, executes the effects and arms the timer.
 func (n *Node) apply(event jackdawbridge.Event) {
@@ -188,10 +196,21 @@
 	for _, effect := range n.effects.All() {
 		n.execute(effect)
 	}
-	// At least a millisecond passes between ticks, so that a part with an
-	// overdue deadline cannot make the timer spin.
-	wait := max(n.parts.reducer.Wake()-n.now(), 1)
-	n.timer.Reset(time.Duration(wait) * time.Millisecond)
+	n.arm()
+}
+
+// arm sets the timer for the next tick, unless it fires before that anyway: to
+// set a timer may cost a system call, and there is an event for each step of a
+// request. At least a millisecond passes between ticks, so that a part with an
+// overdue deadline cannot make the timer spin.
+func (n *Node) arm() {
+	now := n.now()
+	at := max(n.parts.reducer.Wake(), now+1)
+	if n.armed > now && n.armed <= at {
+		return
+	}
+	n.armed = at
+	n.timer.Reset(time.Duration(at-now) * time.Millisecond)
 }
 
 // execute does what an effect says, without waiting.
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -299,3 +300,29 @@
 		t.Errorf("connection after the close: %v", err)
 	}
 }
+
+// TestLogVolume guards against a log that grows with the load, and against lines
+// that are left out without a trace.
+func TestLogVolume(t *testing.T) {
+	l := newLogWriter(slog.New(slog.DiscardHandler))
+	defer l.close()
+	written, omitted := 0, int64(0)
+	for second := range int64(3) {
+		for range 10 * lineRate {
+			n, ok := l.admit("route: forwarded to", second)
+			omitted += n
+			if ok {
+				written++
+			}
+		}
+	}
+	if _, ok := l.admit("call: refused", 2); !ok {
+		t.Error("a line of another text is left out")
+	}
+	if diff := cmp.Diff(3*lineRate, written); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(int64(2*9*lineRate), omitted); diff != "" {
+		t.Errorf("lines reported as left out (-want +got):\n%s", diff)
+	}
+}
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -229,7 +229,8 @@
 	c.sent = p.r.now
 	c.given = subtreeAllowance(c.allowance)
 	c.allowance -= c.given
-	envelope := c.envelope.WithBudget(c.deadline - p.r.now).WithAllowance(c.given)
+	envelope := c.envelope.WithBudget(c.deadline-p.r.now).WithAllowance(c.given).
+		WithSent(p.r.self.Node(), p.r.now)
 	if c.route.Objective() > 0 {
 		envelope = envelope.WithObjective(c.arrived + c.route.Objective() - p.r.now)
 	}
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -112,7 +112,7 @@
 // harness drives a few reducers in virtual time over a fake link and a fake
 // platform. Everything is deterministic.
 type harness struct {
-	options []datadriven.CmdArg // of nodes that start from now on
+	options    []datadriven.CmdArg // of nodes that start from now on
 	now        jackdawbridge.Millis
 	timeline   timeline
 	sequence   int
@@ -435,7 +435,7 @@
 	id := n.h.nextCall
 	target.runs[id] = &fakeRun{origin: n, call: call, attempt: attempt, envelope: envelope, request: n.requests[call], status: 200}
 	n.attempts[fakeAttempt{call, attempt}] = fakeTarget{target, id}
-	n.h.after(n.hopDelay(), func() {
+	n.h.after(n.hopDelay()+n.h.delays[[2]string{n.name, target.name}], func() {
 		target.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
 			return jackdawbridge.NewForwardArrived(at, id, envelope)
 		})
--- a/reducer/reach.go
+++ b/reducer/reach.go
@@ -53,6 +53,7 @@
 	}
 	p.reachDue = p.r.now + reachInterval
 	p.anyLost = false
+	var silent []jackdawbridge.Peer
 	for node, o := range p.seen {
 		w := &o.reach
 		p.anyLost = p.anyLost || w.lost
@@ -70,7 +71,14 @@
 		}
 		w.pending = true
 		w.probed = p.r.now
-		p.r.members.check(w.peer, pendingProbe{purpose: probeReach}, nil, reachTimeout)
+		silent = append(silent, w.peer)
+	}
+	// The map's order is random, and the steps of a node must not be.
+	slices.SortFunc(silent, func(a, b jackdawbridge.Peer) int {
+		return cmp.Compare(a.Node().Instance(), b.Node().Instance())
+	})
+	for _, peer := range silent {
+		p.r.members.check(peer, pendingProbe{purpose: probeReach}, nil, reachTimeout)
 	}
 }
 
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -43,6 +43,7 @@
 	running   int                           // at most the limiter's limit
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	free      *pool.Pool[run]
+	transits  transits
 	below     learnedLevel // of the services that the backend server calls without a token
 	held      *run         // must run alone and waits until nothing else runs
 	solo      *run         // runs alone
@@ -51,7 +52,7 @@
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
 	return runs{
-		r: r, limiter: limiter, queue: queue,
+		r: r, limiter: limiter, queue: queue, transits: make(transits),
 		active: make(map[jackdawbridge.CallID]*run),
 		tokens: make(map[jackdawbridge.Token]*run),
 		free:   pool.New[run](64),
@@ -137,7 +138,7 @@
 		return jackdawbridge.UnknownService
 	case envelope.Depth() > jackdawbridge.MaxDepth:
 		return jackdawbridge.TooDeep
-	case envelope.Budget() <= 0:
+	case envelope.Budget() <= 0, p.transits.late(p.r.now, envelope):
 		return jackdawbridge.DeadlinePassed
 	case p.r.quarantine.check(envelope.Fingerprint()) == verdictRefuse:
 		return jackdawbridge.Quarantined
--- a/request.go
+++ b/request.go
@@ -88,6 +88,8 @@
 	depth       int    // 0 for a caller's request, at most MaxDepth
 	fingerprint Fingerprint
 	alone       bool   // suspected of crashing backend servers, runs alone
+	sender      Node   // entry node of the attempt
+	sent        Millis // by the sender's clock
 	objective   Millis // left of the time within which an answer is worth most, 0 if unknown or over
 }
 
@@ -147,6 +149,19 @@
 	return e
 }
 
+// WithSent returns e with the node that sends it and when, by its clock.
+func (e Envelope) WithSent(sender Node, at Millis) Envelope {
+	e.sender = sender
+	e.sent = at
+	return e
+}
+
+// Sender returns the node that sent e.
+func (e Envelope) Sender() Node { return e.sender }
+
+// Sent returns when e was sent, by the clock of its sender.
+func (e Envelope) Sent() Millis { return e.sent }
+
 // ID returns the id of the request.
 func (e Envelope) ID() RequestID { return e.id }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -64,7 +64,7 @@
 		Criticality: uint32(e.Criticality()), Bought: e.Bought(), Idempotent: e.Idempotent(),
 		Budget: int64(e.Budget()), Allowance: int64(e.Allowance()), Depth: int64(e.Depth()),
 		Fingerprint: uint64(e.Fingerprint()), Alone: e.Alone(),
-		Objective: int64(e.Objective()),
+		Objective: int64(e.Objective()), Sender: fromSender(e.Sender()), Sent: int64(e.Sent()),
 	})
 	if err != nil {
 		return nil, errors.Errorf("encode envelope: %w", err)
@@ -84,7 +84,7 @@
 		enum[jackdawbridge.Criticality](&d, p.Criticality), jackdawbridge.Millis(p.Budget),
 	).WithBought(p.Bought).WithIdempotent(p.Idempotent).WithAllowance(int(p.Allowance)).
 		WithDepth(int(p.Depth)).WithFingerprint(jackdawbridge.Fingerprint(p.Fingerprint), p.Alone).
-		WithObjective(jackdawbridge.Millis(p.Objective))
+		WithObjective(jackdawbridge.Millis(p.Objective)).WithSent(d.sender(p.Sender), jackdawbridge.Millis(p.Sent))
 	if d.err == nil {
 		d.err = e.Check()
 	}
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -34,6 +34,14 @@
 	return jackdawbridge.NewNode(jackdawbridge.Instance(p.GetInstance()), p.GetIncarnation())
 }
 
+// sender returns the zero node for an envelope that names no sender.
+func (d *decoder) sender(p *pb.Node) jackdawbridge.Node {
+	if p == nil {
+		return jackdawbridge.Node{}
+	}
+	return d.node(p)
+}
+
 // address returns an address, with the known IP address if data has none.
 func (d *decoder) address(data []byte, known netip.Addr) netip.AddrPort {
 	var a netip.AddrPort
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -11,6 +11,14 @@
 	return &pb.Node{Instance: string(n.Instance()), Incarnation: n.Incarnation()}
 }
 
+// fromSender leaves out the zero node.
+func fromSender(n jackdawbridge.Node) *pb.Node {
+	if n.IsZero() {
+		return nil
+	}
+	return fromNode(n)
+}
+
 // fromAddress returns the binary form of an address, without the IP address if
 // it is the given one.
 func fromAddress(a netip.AddrPort, known netip.Addr) []byte {
