--- a/node/header.go
+++ b/node/header.go
@@ -4,10 +4,8 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/jackdawbridge/jackdawbridge"
 )
 
 // The headers of requests and answers between nodes.
@@ -71,8 +69,6 @@
 	return values[0], nil
 }
 
-func millis(d time.Duration) jackdawbridge.Millis { return jackdawbridge.Millis(d.Milliseconds()) }
-
 // requestURL returns the URL of a request at the next hop.
 func requestURL(host, rawPath, query string) (*url.URL, error) {
 	u, err := url.ParseRequestURI(rawPath)
--- a/reducer/floor.go
+++ b/reducer/floor.go
@@ -34,7 +34,7 @@
 	at      jackdawbridge.Millis // when it was last as large
 }
 
-// members returns the size of the own data centre. It follows growth at once,
+// memberCount returns the size of the own data centre. It follows growth at once,
 // and a fall after sizeMemory.
 func (p *shares) memberCount() int {
 	count := max(len(p.r.members.live)+1, leastSize)
