jackdawbridge: a SIGHUP does not end a node

Cause: the platform sends SIGHUP when the settings file changes, and the program left the signal to its default, which ends the process and cuts its requests. Settings come from flags and environment at the start, so there is nothing to read anew: a line says so.

Test: testdata/processes/hangup; before the change the call after the signal got no answer, after it 200.

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -146,6 +146,14 @@
 		return err
 	}
 	context.AfterFunc(ctx, n.Stop)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go func() {
+		for range hangup {
+			logger.Info("node: SIGHUP ignored, settings come from flags and environment at the start")
+		}
+	}()
 	n.Wait()
 	return nil
 }
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -98,6 +98,8 @@
 		return strings.Join(slices.Sorted(maps.Keys(f.load.ends)), "\n"), nil
 	case "kill":
 		return f.signal(arg(d, "process"), syscall.SIGKILL)
+	case "hangup":
+		return "", f.processes[arg(d, "process")].command.Process.Signal(syscall.SIGHUP)
 	case "stop":
 		return f.signal(arg(d, "process"), syscall.SIGTERM)
 	case "received":
