--- a/dialect.go
+++ b/dialect.go
@@ -32,6 +32,19 @@
 	ReadyPath() string
 }
 
+// OnlyValue returns the value of a header that may come once, "" if it does not
+// come. Two values could be read in different ways.
+func OnlyValue(h http.Header, name string) (string, error) {
+	values := h[name]
+	if len(values) > 1 {
+		return "", errors.Errorf("header %s comes %d times: want once", name, len(values))
+	}
+	if len(values) == 0 {
+		return "", nil
+	}
+	return values[0], nil
+}
+
 // Head is what a request says before its body.
 type Head struct {
 	request *Request
--- a/native/native.go
+++ b/native/native.go
@@ -204,21 +204,9 @@
 // ReadyPath returns the path at which the node tells whether it serves.
 func (d Dialect) ReadyPath() string { return readyPath }
 
-// onlyValue returns the value of a header that may come once.
-func onlyValue(h http.Header, name string) (string, error) {
-	values := h[name]
-	if len(values) > 1 {
-		return "", errors.Errorf("header %s comes %d times: want once", name, len(values))
-	}
-	if len(values) == 0 {
-		return "", nil
-	}
-	return values[0], nil
-}
-
 // keyOf returns the hash of the caller's key.
 func keyOf(h http.Header) (hash jackdawbridge.KeyHash, keyed bool, err error) {
-	value, err := onlyValue(h, HeaderKey)
+	value, err := jackdawbridge.OnlyValue(h, HeaderKey)
 	if err != nil {
 		return hash, false, err
 	}
@@ -233,7 +221,7 @@
 // tokenOf returns the token of a backend server's own call.
 func tokenOf(h http.Header) (jackdawbridge.Token, error) {
 	var token jackdawbridge.Token
-	value, err := onlyValue(h, HeaderToken)
+	value, err := jackdawbridge.OnlyValue(h, HeaderToken)
 	if err != nil {
 		return token, err
 	}
@@ -247,7 +235,7 @@
 
 // idempotencyOf returns the idempotency key of a request.
 func idempotencyOf(h http.Header) (string, error) {
-	value, err := onlyValue(h, HeaderIdempotency)
+	value, err := jackdawbridge.OnlyValue(h, HeaderIdempotency)
 	if err != nil {
 		return "", err
 	}
@@ -260,7 +248,7 @@
 
 // budgetOf returns the time that a caller gives a request.
 func (d Dialect) budgetOf(h http.Header) (jackdawbridge.Millis, error) {
-	value, err := onlyValue(h, HeaderTimeout)
+	value, err := jackdawbridge.OnlyValue(h, HeaderTimeout)
 	if err != nil {
 		return 0, err
 	}
--- a/node/header.go
+++ b/node/header.go
@@ -57,18 +57,6 @@
 	return strings.EqualFold(strings.ReplaceAll(name[:len(ownPrefix)], "_", "-"), ownPrefix)
 }
 
-// onlyValue returns the value of a header that may come once.
-func onlyValue(h http.Header, name string) (string, error) {
-	values := h[name]
-	if len(values) > 1 {
-		return "", errors.Errorf("header %s comes %d times: want once", name, len(values))
-	}
-	if len(values) == 0 {
-		return "", nil
-	}
-	return values[0], nil
-}
-
 // requestURL returns the URL of a request at the next hop.
 func requestURL(host, rawPath, query string) (*url.URL, error) {
 	u, err := url.ParseRequestURI(rawPath)
--- a/node/refusal.go
+++ b/node/refusal.go
@@ -87,7 +87,7 @@
 }
 
 func boundedHeader(h http.Header, name string, greatest int) (int, error) {
-	value, err := onlyValue(h, name)
+	value, err := jackdawbridge.OnlyValue(h, name)
 	if err != nil {
 		return 0, err
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -60,7 +60,7 @@
 }
 
 func (n *Node) openEnvelope(h http.Header) (jackdawbridge.Envelope, error) {
-	value, err := onlyValue(h, headerEnvelope)
+	value, err := jackdawbridge.OnlyValue(h, headerEnvelope)
 	if err != nil {
 		return jackdawbridge.Envelope{}, err
 	}
