reducer: only calls that may come from the own backend server count as internal

Cause: a keyless call on an open route was taken for one of the own backend server, which in the product's own protocol is a caller: its calls name their run with a token. Such callers were not shed at the entry and raised the level of all runs.

Change: the dialect says whether a call may come from the backend server without a token.

--- a/reducer/call.go
+++ b/reducer/call.go
@@ -392,9 +392,9 @@
 }
 
 // internal reports whether a call is taken for one that the own backend server
-// makes for a request that it runs: it is on an open route, without a key or a
-// token. To refuse it wastes the work of that request.
-func (c *call) internal() bool { return !c.child && c.envelope.Account() == "" }
+// makes for a request that it runs: it is on an open route and may come from
+// there. To refuse it wastes the work of that request.
+func (c *call) internal() bool { return c.request.Untied() && c.envelope.Account() == "" }
 
 // fingerprint returns the digest by which a repeated request is known again.
 func (p *calls) fingerprint(c *call) jackdawbridge.Fingerprint {
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -291,7 +291,7 @@
 }
 
 // calls sends requests: call node=a id=r1 service=s path=/p key=k
-// [idempotency=key] [count=n every=ms] [budget=ms].
+// [idempotency=key] [count=n every=ms] [budget=ms] [untied].
 func (h *harness) calls(d *datadriven.TestData) (string, error) {
 	node, id, count := arg(d, "node", ""), arg(d, "id", "r"), number(d, "count", 1)
 	every := jackdawbridge.Millis(number(d, "every", 1))
@@ -300,7 +300,7 @@
 	}
 	service, method, path := jackdawbridge.ServiceName(arg(d, "service", "")), arg(d, "method", "GET"), arg(d, "path", "/")
 	budget := jackdawbridge.Millis(number(d, "budget", 1000))
-	key, idempotency := arg(d, "key", ""), arg(d, "idempotency", "")
+	key, idempotency, untied := arg(d, "key", ""), arg(d, "idempotency", ""), d.HasArg("untied")
 	for i := range count {
 		name := id
 		if count > 1 {
@@ -311,6 +311,9 @@
 			if key != "" {
 				request.WithKey(keyHash(key))
 			}
+			if untied {
+				request.WithUntied()
+			}
 			h.call(node, request.WithIdempotency(idempotency))
 		})
 	}
--- a/request.go
+++ b/request.go
@@ -12,6 +12,7 @@
 	token       Token   // zero for callers
 	idempotency string  // idempotency key, empty without one
 	budget      Millis  // time left to the deadline, above 0
+	untied      bool    // may be a call of the own backend server that names no run
 	body        uint64  // digest of the body, 0 when unknown
 }
 
@@ -45,6 +46,16 @@
 	return r
 }
 
+// WithUntied marks r as one that the own backend server may have sent for a
+// request that it runs, without a token that says for which, and returns r.
+func (r *Request) WithUntied() *Request {
+	r.untied = true
+	return r
+}
+
+// Untied reports whether the own backend server may have sent r without a token.
+func (r *Request) Untied() bool { return r.untied }
+
 // ID returns the id of r.
 func (r *Request) ID() RequestID { return r.id }
 
