reducer, node: an upstream's mistake is not told as the caller's

A node whose backend server is of another service refused a forwarded request as 'unknown service', and the entry node passed that on as 404.

Change: such a refusal says that the backend server is down, and is not run. What an upstream's node cannot read, and a 400 of a backend server that has not run the request, are no bad input of the caller either.

--- a/node/refusal.go
+++ b/node/refusal.go
@@ -67,13 +67,18 @@
 		return report{}, err
 	}
 	rep := report{level: jackdawbridge.Level(level), unused: unused}
+	reason := reasonOf(h.Get(headerReason))
+	if reason == jackdawbridge.BadInput {
+		// The entry node has read the request, so the caller is not at fault.
+		reason = jackdawbridge.UpstreamFailed
+	}
 	switch outcome := h.Get(headerOutcome); outcome {
 	case "":
 		return rep, nil
 	case jackdawbridge.NotRun.String():
-		rep.refusal = jackdawbridge.NotRunRefusal(reasonOf(h.Get(headerReason)))
+		rep.refusal = jackdawbridge.NotRunRefusal(reason)
 	case jackdawbridge.Unknown.String():
-		rep.refusal = jackdawbridge.UnknownRefusal(reasonOf(h.Get(headerReason)))
+		rep.refusal = jackdawbridge.UnknownRefusal(reason)
 	default:
 		return report{}, errors.Errorf("header %s is %q", headerOutcome, outcome)
 	}
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -32,7 +32,7 @@
 	case jackdawbridge.Overloaded:
 		return !p.sheds(c) && c.deadline > p.r.now+pauseMin+pauseSpan
 	case jackdawbridge.Draining, jackdawbridge.BackendDown, jackdawbridge.NotReady, jackdawbridge.BackendFull,
-		jackdawbridge.UpstreamFailed, jackdawbridge.UnknownService:
+		jackdawbridge.UpstreamFailed:
 		return true
 	}
 	// Another upstream would refuse for the same reason.
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -135,7 +135,9 @@
 	case p.r.self.State() == jackdawbridge.PeerStarting:
 		return jackdawbridge.BackendDown
 	case envelope.Service() != p.r.self.Service():
-		return jackdawbridge.UnknownService
+		// The address was that of another node before. The service exists, so the
+		// caller must not be told that it does not.
+		return jackdawbridge.BackendDown
 	case envelope.Depth() > jackdawbridge.MaxDepth:
 		return jackdawbridge.TooDeep
 	case envelope.Budget() <= 0, p.transits.late(p.r.now, envelope):
