client, socket: own connections to the backend server, raw calls on sockets

Change: package client writes requests and reads answers with net/http on its own kept connections; it reads over late answers to other requests, uses no connection on which something is odd, and sends what must not be lost over fresh connections only. Package socket makes the non-blocking calls without telling the scheduler. Dialect.Judge is split: Echo names the request that an answer is for. The scripts of node/testdata/rules/hop moved to client/testdata, with more cases.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,267 @@
+package client
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
+)
+
+// idleTime and freshTime are the times of the clients under test.
+const (
+	idleTime  = time.Minute
+	freshTime = 20 * time.Millisecond
+)
+
+// server is a backend server that does what the path of a request says.
+type server struct {
+	listener net.Listener
+	conns    atomic.Int64 // accepted
+	requests atomic.Int64 // read
+	group    sync.WaitGroup
+
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func newServer(t *testing.T) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: listener}
+	s.group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			s.mu.Lock()
+			s.open = append(s.open, conn)
+			s.mu.Unlock()
+			s.group.Go(func() {
+				s.serve(conn.(*net.TCPConn))
+				_ = conn.Close()
+			})
+		}
+	})
+	return s
+}
+
+func (s *server) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func (s *server) serve(conn *net.TCPConn) {
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.requests.Add(1)
+		id := r.Header.Get("Id")
+		if r.URL.Path == "/early" {
+			_, _ = io.WriteString(conn, answer(id, "early"))
+		}
+		content, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		own := answer(id, fmt.Sprintf("%s %d", id, len(content)))
+		switch r.URL.Path {
+		case "/ok":
+			_, _ = io.WriteString(conn, own)
+		case "/stray":
+			_, _ = io.WriteString(conn, answer("other", "of another request")+own)
+		case "/strays":
+			_, _ = io.WriteString(conn, strings.Repeat(answer("other", "x"), maxStrays)+own)
+		case "/nameless":
+			_, _ = io.WriteString(conn, answer("", "x"))
+		case "/noise":
+			_, _ = io.WriteString(conn, "no answer at all\r\n\r\n")
+		case "/extra":
+			_, _ = io.WriteString(conn, own+answer(id, "again"))
+		case "/interim":
+			_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n"+own)
+		case "/last":
+			_, _ = io.WriteString(conn, strings.Replace(own, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1))
+		case "/short-lived":
+			_, _ = io.WriteString(conn, strings.Replace(own, "\r\n\r\n", "\r\nKeep-Alive: timeout=1\r\n\r\n", 1))
+		case "/cut":
+			_, _ = io.WriteString(conn, own[:len(own)-1])
+			return
+		case "/end":
+			return
+		case "/reset":
+			_ = conn.SetLinger(0)
+			return
+		case "/forget": // what comes next on the connection is reset
+			_, _ = io.WriteString(conn, own)
+			_, _ = reader.Peek(1)
+			_ = conn.SetLinger(0)
+			return
+		case "/unframed":
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nto the end")
+			return
+		case "/silent":
+			_, _ = reader.Peek(1)
+			return
+		}
+	}
+}
+
+func match(id string) func(*http.Response) Match {
+	return func(r *http.Response) Match {
+		switch r.Header.Get("Id") {
+		case id:
+			return Own
+		case "":
+			return NoAnswer
+		}
+		return Stray
+	}
+}
+
+// run sends a request and describes its end.
+func run(t *testing.T, c *Client, d *datadriven.TestData, number int) string {
+	id, path, method, size := fmt.Sprintf("r%d", number), "/ok", http.MethodGet, 0
+	for _, a := range d.CmdArgs {
+		switch a.Key {
+		case "path":
+			path = a.Vals[0]
+		case "method":
+			method = a.Vals[0]
+		}
+	}
+	d.MaybeScanArgs(t, "size", &size)
+	request := &http.Request{Method: method, URL: &url.URL{Scheme: "http", Host: "h", Path: path}, Header: http.Header{"Id": {id}}}
+	if size > 0 {
+		request.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", size)))
+		request.ContentLength = int64(size)
+		if d.HasArg("chunked") {
+			request.ContentLength = -1
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.HasArg("cancel") {
+		time.AfterFunc(50*time.Millisecond, cancel)
+	}
+	response, failure := c.Do(ctx, request, !d.HasArg("once"), match(id))
+	if failure != nil {
+		return fmt.Sprintf("failed connected=%t refused=%t", failure.Connected(), failure.Refused())
+	}
+	defer func() { _ = response.Body.Close() }()
+	if d.HasArg("unread") {
+		return "unread"
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Sprintf("broken after %d bytes", len(body))
+	}
+	return string(body)
+}
+
+// TestScripts runs the files of testdata, whose comments name the failures that
+// they guard against.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+		s := newServer(t)
+		defer s.close()
+		c := New(s.listener.Addr().(*net.TCPAddr).AddrPort(), 4, idleTime, freshTime)
+		defer func() { c.Close() }()
+		number := 0
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			conns, requests := s.conns.Load(), s.requests.Load()
+			switch d.Cmd {
+			case "do":
+				number++
+				end := run(t, c, d, number)
+				return fmt.Sprintf("%s (new connections %d, requests read %d)", end, s.conns.Load()-conns, s.requests.Load()-requests)
+			case "rest": // longer than freshTime
+				time.Sleep(2 * freshTime)
+				return ""
+			case "new":
+				c.Close()
+				c = New(s.listener.Addr().(*net.TCPAddr).AddrPort(), 4, idleTime, freshTime)
+				return ""
+			case "gone":
+				s.close()
+				return ""
+			}
+			d.Fatalf(t, "unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// TestIdle guards against idle connections that stay open, and against more of
+// them than the client may keep.
+func TestIdle(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	s := newServer(t)
+	defer s.close()
+	c := New(s.listener.Addr().(*net.TCPAddr).AddrPort(), 2, 50*time.Millisecond, freshTime)
+	defer c.Close()
+	var bodies []io.ReadCloser
+	for i := range 4 {
+		id := fmt.Sprint(i)
+		request := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "h", Path: "/ok"}, Header: http.Header{"Id": {id}}}
+		response, failure := c.Do(t.Context(), request, true, match(id))
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		bodies = append(bodies, response.Body)
+	}
+	for _, b := range bodies {
+		_, _ = io.Copy(io.Discard, b)
+	}
+	kept := func() int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.kept)
+	}
+	if n := kept(); n != 2 {
+		t.Errorf("%d connections are kept: want 2", n)
+	}
+	for end := time.Now().Add(30 * time.Second); kept() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("idle connections stay open")
+		}
+	}
+}
+
+// TestKeepAliveTime guards against a time that is read wrongly.
+func TestKeepAliveTime(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "timeout=5": 4 * time.Second, "max=3, Timeout=10": 8 * time.Second, "timeout=x": 0, "timeout=0": 0,
+	} {
+		if got := keepAliveTime(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("Keep-Alive %q: %s, want %s", text, got, want)
+		}
+	}
+}
--- a/dialect.go
+++ b/dialect.go
@@ -16,9 +16,12 @@
 	ReadCall(r *http.Request, child bool) (Head, error)
 	// Launch sets the headers that a backend server gets with a request.
 	Launch(h http.Header, launch Launch)
+	// Echo returns the id of the request that an answer of a backend server names,
+	// "" if it names none. It reports false if answers of the protocol name none.
+	Echo(answer *http.Response) (RequestID, bool)
 	// Judge tells whether an answer of a backend server says that the request
-	// was refused. The error tells that the answer is not one to this request.
-	Judge(answer *http.Response, id RequestID) (refusal Refusal, refused bool, err error)
+	// was refused. The error tells that it is no answer of a backend server.
+	Judge(answer *http.Response) (refusal Refusal, refused bool, err error)
 	// Refuse sets the headers of a refusal and returns its status code.
 	Refuse(h http.Header, refusal Refusal) int
 	// Announces reports whether a request is an announcement of the own backend
--- a/link/listener.go
+++ b/link/listener.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/socket"
 )
 
 // Listener takes the requests of peers.
@@ -90,7 +91,7 @@
 			}
 			return
 		}
-		s := newSession(l, conn)
+		s := newSession(l, socket.Wrap(conn))
 		if !l.admit(s) {
 			l.refused.Inc(1)
 			_ = conn.Close()
@@ -273,6 +274,7 @@
 
 func (r *inbound) end() {
 	r.cancel()
+	r.flow.fail(errClosed)
 	s := r.session
 	s.mu.Lock()
 	delete(s.requests, r.id)
--- a/link/pool.go
+++ b/link/pool.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/socket"
 )
 
 // Pool sends requests to peers. It keeps up to maxLinks connections to each.
@@ -164,10 +165,11 @@
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
 	dialer := net.Dialer{KeepAlive: keepAlive}
-	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	dialed, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, nil, errors.Errorf("link: %w", err)
 	}
+	conn := socket.Wrap(dialed)
 	reader := bufio.NewReaderSize(conn, readBuffer)
 	deadline, _ := ctx.Deadline()
 	err = conn.SetDeadline(deadline)
--- a/native/native.go
+++ b/native/native.go
@@ -110,9 +110,12 @@
 	h.Set(HeaderRequest, string(launch.ID()))
 }
 
+// Echo reports that answers name no request.
+func (d Dialect) Echo(*http.Response) (jackdawbridge.RequestID, bool) { return "", false }
+
 // Judge takes every answer that tells its end: a backend server of this
 // protocol does not say that it has not run a request.
-func (d Dialect) Judge(answer *http.Response, _ jackdawbridge.RequestID) (jackdawbridge.Refusal, bool, error) {
+func (d Dialect) Judge(answer *http.Response) (jackdawbridge.Refusal, bool, error) {
 	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 && answer.Body != http.NoBody {
 		return jackdawbridge.Refusal{}, false, errors.New("answer has no length, its end could not be told from a failure")
 	}
--- a/node/backend.go
+++ b/node/backend.go
@@ -1,31 +1,44 @@
 package node
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/client"
 )
 
 const (
+	// dialTimeout bounds the connection by which the loss of a backend server is
+	// looked into.
+	dialTimeout = time.Second
 	// lossProbes is how often a backend server is asked for a connection after
 	// one broke. A process that is being killed may accept for a moment.
 	lossProbes = 3
 	// lossProbeGap is the time between two of them.
 	lossProbeGap = 5 * time.Millisecond
+	// freshTime is how long a connection to the backend server may have been idle
+	// for a request that must not be lost. Backend servers forget idle connections
+	// after some hundred milliseconds at times.
+	freshTime = 100 * time.Millisecond
 )
 
 // backend follows the own backend server.
 type backend struct {
 	n *Node
 
-	mu        sync.Mutex
-	last      jackdawbridge.Announcement // the newest that was taken
-	known     bool                       // there is one
-	present   bool                       // the backend server is not lost since then
-	transport *http.Transport            // nil before the first announcement
-	silence   *time.Timer                // runs from the last heartbeat; nil before the first
+	mu      sync.Mutex
+	last    jackdawbridge.Announcement // the newest that was taken
+	known   bool                       // there is one
+	present bool                       // the backend server is not lost since then
+	client  *client.Client             // nil before the first announcement
+	silence *time.Timer                // runs from the last heartbeat; nil before the first
 }
 
 func newBackend(n *Node) *backend { return &backend{n: n} }
@@ -82,11 +95,11 @@
 		return false, false
 	}
 	restarted = b.present && !same
-	if b.transport == nil || restarted || b.last.Conns() != a.Conns() {
-		if b.transport != nil {
-			b.transport.CloseIdleConnections()
+	if b.client == nil || restarted || b.last.Conns() != a.Conns() || b.last.Address() != a.Address() {
+		if b.client != nil {
+			b.client.Close()
 		}
-		b.transport = newTransport(a.Conns(), b.n.limits.backendIdle)
+		b.client = client.New(a.Address(), a.Conns(), b.n.limits.backendIdle, freshTime)
 	}
 	b.last, b.known, b.present = a, true, true
 	if b.silence == nil {
@@ -113,10 +126,10 @@
 }
 
 // route returns how to reach the backend server.
-func (b *backend) route() (*http.Transport, jackdawbridge.Announcement, bool) {
+func (b *backend) route() (*client.Client, jackdawbridge.Announcement, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.transport, b.last, b.present
+	return b.client, b.last, b.present
 }
 
 // check finds out whether the backend server is gone after a failure.
@@ -154,7 +167,18 @@
 	if b.silence != nil {
 		b.silence.Stop()
 	}
-	if b.transport != nil {
-		b.transport.CloseIdleConnections()
+	if b.client != nil {
+		b.client.Close()
+	}
+}
+
+// refusesConnections reports whether an address refuses connections.
+func refusesConnections(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	_ = conn.Close()
+	return false
 }
--- a/node/listen.go
+++ b/node/listen.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/jackdawbridge/jackdawbridge/socket"
 )
 
 // Addresses are where a Node listens.
@@ -218,7 +220,7 @@
 			return nil, err
 		}
 		if l.open.Add(1) <= l.limit {
-			return &boundedConn{Conn: conn, done: func() { l.open.Add(-1) }}, nil
+			return &boundedConn{Conn: socket.Wrap(conn), done: func() { l.open.Add(-1) }}, nil
 		}
 		l.open.Add(-1)
 		l.refused()
--- a/node/run.go
+++ b/node/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/client"
 )
 
 // answerStart bounds the part of a backend server's answer that is read before
@@ -88,16 +89,16 @@
 }
 
 // runFailed tells the reducer of a run without an answer.
-func (n *Node) runFailed(x *exchange, envelope jackdawbridge.Envelope, failure *hopError) {
+func (n *Node) runFailed(x *exchange, envelope jackdawbridge.Envelope, failure *client.Error) {
 	outcome := jackdawbridge.Unknown
-	if !failure.connected {
+	if !failure.Connected() {
 		outcome = jackdawbridge.NotRun
 	}
 	n.metrics.count("runs_failed")
-	n.log.warn("node: run failed", "request", string(envelope.ID()), "outcome", outcome.String(), "error", failure.err)
+	n.log.warn("node: run failed", "request", string(envelope.ID()), "outcome", outcome.String(), "error", failure)
 	// The loss comes first: the reducer then still knows what was in flight.
-	if !errors.Is(failure.err, context.Canceled) {
-		n.backend.check(failure.refused())
+	if !errors.Is(failure, context.Canceled) {
+		n.backend.check(failure.Refused())
 	}
 	n.apply(jackdawbridge.NewRunFinished(n.now(), x.call, outcome, 0))
 }
@@ -111,44 +112,68 @@
 
 // callBackend sends a request to the own backend server and returns its answer,
 // or the refusal that it stands for.
-func (n *Node) callBackend(parent context.Context, x *exchange, d decision, in jackdawbridge.Inbound) (*backendAnswer, jackdawbridge.Refusal, *hopError) {
+func (n *Node) callBackend(parent context.Context, x *exchange, d decision, in jackdawbridge.Inbound) (*backendAnswer, jackdawbridge.Refusal, *client.Error) {
 	var none jackdawbridge.Refusal
 	ctx, ok := x.begin(parent, 0)
 	if !ok {
-		return nil, none, &hopError{err: context.Canceled}
+		return nil, none, client.NewError(context.Canceled, false)
 	}
-	transport, at, ok := n.backend.route()
+	backend, at, ok := n.backend.route()
 	if !ok {
-		return nil, none, &hopError{err: errors.New("no backend server")}
+		return nil, none, client.NewError(errors.New("no backend server"), false)
 	}
-	request, err := n.backendRequest(ctx, d, in, at)
+	request, err := n.backendRequest(d, in, at)
 	if err != nil {
-		return nil, none, &hopError{err: err}
+		return nil, none, client.NewError(err, false)
 	}
-	response, failure := sendOnce(transport, request)
+	envelope := in.Passage().Envelope()
+	response, failure := backend.Do(ctx, request, envelope.Idempotent(), func(response *http.Response) client.Match {
+		return n.match(response, envelope.ID())
+	})
 	if failure != nil {
 		return nil, none, failure
 	}
-	refusal, refused, err := n.parts.dialect.Judge(response, in.Passage().Envelope().ID())
-	if err != nil || refused {
-		_ = response.Body.Close()
-	}
+	refusal, refused, err := n.parts.dialect.Judge(response)
 	if err != nil {
-		return nil, none, &hopError{err: err, connected: true}
+		_ = response.Body.Close()
+		return nil, none, client.NewError(err, true)
 	}
 	if refused {
+		discard(response.Body)
 		return nil, refusal, nil
 	}
 	answer, err := readStart(response)
 	if err != nil {
 		_ = response.Body.Close()
-		return nil, none, &hopError{err: err, connected: true}
+		return nil, none, client.NewError(err, true)
 	}
 	return answer, none, nil
 }
 
+// match tells whether an answer is one to a request. An answer of another request
+// may come late, where the next one is expected.
+func (n *Node) match(response *http.Response, id jackdawbridge.RequestID) client.Match {
+	switch echoed, named := n.parts.dialect.Echo(response); {
+	case !named, echoed == id:
+		return client.Own
+	case echoed == "":
+		return client.NoAnswer
+	}
+	n.metrics.count("answers_stray")
+	return client.Stray
+}
+
+// refusalBytes bounds what is read of a refusal of the backend server, so that
+// its connection can be used again.
+const refusalBytes = 4 << 10
+
+func discard(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, refusalBytes)
+	_ = body.Close()
+}
+
 // backendRequest returns the request for the own backend server.
-func (n *Node) backendRequest(ctx context.Context, d decision, in jackdawbridge.Inbound, at jackdawbridge.Announcement) (*http.Request, error) {
+func (n *Node) backendRequest(d decision, in jackdawbridge.Inbound, at jackdawbridge.Announcement) (*http.Request, error) {
 	passage := in.Passage()
 	u, err := requestURL(at.Address().String(), passage.Path(), passage.Query())
 	if err != nil {
@@ -156,12 +181,15 @@
 	}
 	header := passage.Header()
 	n.parts.dialect.Launch(header, jackdawbridge.NewLaunch(passage.Envelope(), d.token, d.budget, at.Backend()))
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // else the library names itself
+	}
 	request := &http.Request{Method: passage.Method(), URL: u, Host: passage.Host(), Header: header}
 	if content := in.Body(); content != nil {
 		request.Body = io.NopCloser(content)
 		request.ContentLength = passage.Length()
 	}
-	return request.WithContext(ctx), nil
+	return request, nil
 }
 
 // readStart reads the start of an answer's body, and all of it if it is short.
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,6 @@
 	"net/textproto"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -38,10 +36,6 @@
 				return eachLine(d.Input, func(line string) string {
 					return entryRefusal(jackdawbridge.NotRunRefusal(reasonOf(t, line))).Reason().String()
 				})
-			case "resend":
-				return eachLine(d.Input, func(line string) string { return showResend(t, line, d.HasArg("unwritten")) })
-			case "break":
-				return eachLine(d.Input, func(line string) string { return showBreak(t, line) })
 			}
 			d.Fatalf(t, "unknown command %s", d.Cmd)
 			return ""
@@ -128,133 +122,6 @@
 	return text
 }
 
-// closingServer answers the first request of each connection and closes the
-// connection when it has read the second one. It counts the requests.
-func closingServer(t *testing.T) (address string, requests *atomic.Int64) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	requests = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for served := 0; ; served++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					requests.Add(1)
-					if served > 0 {
-						return
-					}
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String(), requests
-}
-
-// staleConn fails before it sends a byte once it is stale.
-type staleConn struct {
-	net.Conn
-	stale *atomic.Bool
-}
-
-// Write writes until the connection is stale.
-func (c staleConn) Write(p []byte) (int, error) {
-	if c.stale.Load() {
-		return 0, errors.New("stale connection")
-	}
-	return c.Conn.Write(p)
-}
-
-// showResend sends two requests on one connection. The second one is lost: the
-// server closes the connection, or not a byte of it can be written.
-func showResend(t *testing.T, line string, unwritten bool) string {
-	f := strings.Fields(line)
-	address, requests := closingServer(t)
-	transport := newTransport(4, time.Minute)
-	defer transport.CloseIdleConnections()
-	dial := transport.DialContext
-	dials := 0
-	var stale atomic.Bool
-	transport.DialContext = func(ctx context.Context, network, to string) (net.Conn, error) {
-		dials++
-		conn, err := dial(ctx, network, to)
-		return staleConn{conn, &stale}, err
-	}
-	content := strings.Repeat("x", len(f[1])-1)
-	var failure *hopError
-	for range 2 {
-		request, err := http.NewRequestWithContext(context.Background(), f[0], "http://"+address+"/", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		request.Header.Set("Idempotency-Key", "k")
-		request.ContentLength = int64(len(content))
-		request.Body = io.NopCloser(strings.NewReader(content))
-		var answer *http.Response
-		if answer, failure = sendOnce(transport, request); failure == nil {
-			_, _ = io.Copy(io.Discard, answer.Body)
-			_ = answer.Body.Close()
-			stale.Store(unwritten)
-		}
-	}
-	if failure == nil {
-		return "no failure"
-	}
-	return fmt.Sprintf("dials=%d requests=%d connected=%t", dials, requests.Load(), failure.connected)
-}
-
-// showBreak sends a request to a host that fails in the named way.
-func showBreak(t *testing.T, how string) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	switch how {
-	case "refused":
-		_ = listener.Close()
-	case "cancelled":
-		cancel()
-	default:
-		go func() {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			defer func() { _ = conn.Close() }()
-			if how == "read" {
-				_, _ = http.ReadRequest(bufio.NewReader(conn))
-			}
-		}()
-	}
-	transport := newTransport(1, time.Minute)
-	defer transport.CloseIdleConnections()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String()+"/", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_, failure := sendOnce(transport, request)
-	if failure == nil {
-		return "no failure"
-	}
-	return fmt.Sprintf("connected=%t refused=%t", failure.connected, failure.refused())
-}
-
 // TestStreamIsSentOnce guards against a large body of which two attempts send
 // parts: the library may go on reading for an attempt that has failed.
 func TestStreamIsSentOnce(t *testing.T) {
--- /dev/null
+++ b/socket/socket_linux.go
@@ -0,0 +1,108 @@
+package socket
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"unsafe"
+)
+
+// conn is a TCP connection on Linux.
+type conn struct {
+	net.Conn
+	raw syscall.RawConn
+}
+
+func wrap(tcp *net.TCPConn) (Conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: tcp, raw: raw}, nil
+}
+
+// transfer is the state of one Read or Write.
+type transfer struct {
+	buffer []byte
+	done   int
+	errno  syscall.Errno
+}
+
+// call makes a system call on the rest of the buffer. It reports false if the
+// socket is not ready.
+func (t *transfer) call(number, fd uintptr) bool {
+	rest := t.buffer[t.done:]
+	for {
+		n, _, errno := syscall.RawSyscall(number, fd, uintptr(unsafe.Pointer(unsafe.SliceData(rest))), uintptr(len(rest)))
+		switch errno {
+		case syscall.EINTR:
+			continue
+		case syscall.EAGAIN:
+			return false
+		case 0:
+			t.done += int(n)
+		}
+		t.errno = errno
+		return true
+	}
+}
+
+// result returns the error of an operation that ended.
+func (t *transfer) result(c *conn, operation string, err error) error {
+	if err == nil && t.errno != 0 {
+		err = os.NewSyscallError(operation, t.errno)
+	}
+	if err == nil {
+		return nil
+	}
+	if _, ok := err.(*net.OpError); ok {
+		return err
+	}
+	return &net.OpError{Op: operation, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// Read reads what has arrived, and waits if that is nothing.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	t := transfer{buffer: p}
+	err := c.raw.Read(func(fd uintptr) bool { return t.call(syscall.SYS_READ, fd) })
+	if err := t.result(c, "read", err); err != nil {
+		return 0, err
+	}
+	if t.done == 0 {
+		return 0, io.EOF
+	}
+	return t.done, nil
+}
+
+// Write writes all of a buffer.
+func (c *conn) Write(p []byte) (int, error) {
+	t := transfer{buffer: p}
+	err := c.raw.Write(func(fd uintptr) bool {
+		for t.done < len(t.buffer) {
+			if !t.call(syscall.SYS_WRITE, fd) {
+				return false
+			}
+			if t.errno != 0 {
+				return true
+			}
+		}
+		return true
+	})
+	return t.done, t.result(c, "write", err)
+}
+
+// Quiet looks for bytes, or the end, without reading them.
+func (c *conn) Quiet() bool {
+	quiet := false
+	var one [1]byte
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&one)), 1,
+			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
+		quiet = errno == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
