picker, reducer: upstreams tell their occupancy, and calls go where it is least

Cause: a data centre's own upstreams took all calls until their queue stood, so a slow one was full while fast ones elsewhere idled; own calls in flight say little of an upstream that sixteen nodes send to. Change: each answer and refusal carries a Feedback: admission level, unused retries, requests that run and wait, their limit, and the time waited. The picker compares two upstreams of the own data centre and two of the others by slots in use and time of a call without its wait; the others are used where a call ends 1.5 times sooner. A new upstream ramps by its slots. An unknown latency counts as the mean.

--- a/behaviour.go
+++ b/behaviour.go
@@ -47,22 +47,34 @@
 
 // Candidate is an upstream as a Picker sees it.
 type Candidate struct {
-	inFlight int    // own calls that have not ended
-	latency  Millis // smoothed time of own calls, 0 when unknown
+	busy     int    // requests that run and wait there, as far as known
+	latency  Millis // smoothed time of own calls without their waits, at least 1
 	failures int    // own failures in a row
 	slots    int    // at least 1
-	warmth   int    // permille of full weight, from 1 to 1000
+	far      bool   // in another data centre
 }
 
-// NewCandidate returns a candidate with its own observations.
-func NewCandidate(inFlight int, latency Millis, failures, slots, warmth int) Candidate {
-	return Candidate{inFlight: inFlight, latency: latency, failures: failures, slots: slots, warmth: warmth}
+// NewCandidate returns a candidate of the own data centre.
+func NewCandidate(busy int, latency Millis, failures, slots int) Candidate {
+	return Candidate{busy: busy, latency: max(latency, 1), failures: failures, slots: max(slots, 1)}
 }
 
-// InFlight returns the own calls that have not ended.
-func (c Candidate) InFlight() int { return c.inFlight }
+// WithLatency returns c with another latency.
+func (c Candidate) WithLatency(latency Millis) Candidate {
+	c.latency = max(latency, 1)
+	return c
+}
+
+// WithDistance returns c in the own data centre or in another.
+func (c Candidate) WithDistance(far bool) Candidate {
+	c.far = far
+	return c
+}
+
+// Busy returns the requests that run and wait, as far as known.
+func (c Candidate) Busy() int { return c.busy }
 
-// Latency returns the smoothed time of own calls, 0 when unknown.
+// Latency returns the smoothed time of own calls without their waits.
 func (c Candidate) Latency() Millis { return c.latency }
 
 // Failures returns the own failures in a row.
@@ -71,8 +83,8 @@
 // Slots returns how many requests the upstream takes at once.
 func (c Candidate) Slots() int { return c.slots }
 
-// Warmth returns the weight of a ramping upstream in permille.
-func (c Candidate) Warmth() int { return c.warmth }
+// Far reports whether the upstream is in another data centre.
+func (c Candidate) Far() bool { return c.far }
 
 // Picker chooses among upstreams.
 type Picker interface {
--- a/check.go
+++ b/check.go
@@ -126,11 +126,18 @@
 		c.within(int64(r.status), 100, 599, "status")
 	}
 	c.within(r.length, -1, maxBody, "length of the body")
-	c.that(r.level <= MaxRank+1, "level %d is unknown", r.level)
-	c.within(int64(r.unused), 0, maxAllowance, "retries given back")
+	c.feedback(r.feedback)
 	return c.err
 }
 
+func (c *checks) feedback(f Feedback) {
+	c.that(f.level <= MaxRank+1, "level %d is unknown", f.level)
+	c.within(int64(f.unused), 0, maxAllowance, "retries given back")
+	c.within(int64(f.occupancy.busy), 0, maxSlots, "busy requests")
+	c.within(int64(f.occupancy.limit), 0, maxSlots, "limit of requests")
+	c.within(int64(f.waited), 0, int64(maxSpan), "time waited")
+}
+
 // Check returns an error if r breaks an invariant of its fields.
 func (r Refusal) Check() error {
 	var c checks
--- a/effect.go
+++ b/effect.go
@@ -44,10 +44,9 @@
 
 // Deliver passes the answer of an attempt, or of a run, on to the caller.
 type Deliver struct {
-	call    CallID
-	attempt int   // 0 for a run
-	level   Level // admission level of this node, for a run
-	unused  int   // retries that a run gives back
+	call     CallID
+	attempt  int      // 0 for a run
+	feedback Feedback // for the entry node of a run
 }
 
 // Call returns the call.
@@ -56,18 +55,14 @@
 // Attempt returns the attempt whose answer is passed on, 0 for a run.
 func (d *Deliver) Attempt() int { return d.attempt }
 
-// Level returns the admission level of this node.
-func (d *Deliver) Level() Level { return d.level }
-
-// Unused returns the retries that a run gives back.
-func (d *Deliver) Unused() int { return d.unused }
+// Feedback returns what the entry node of a run is told.
+func (d *Deliver) Feedback() Feedback { return d.feedback }
 
 // Refuse answers a call with a refusal. Nothing of the call goes on.
 type Refuse struct {
-	call    CallID
-	refusal Refusal
-	level   Level // admission level of this node
-	unused  int   // retries that are given back
+	call     CallID
+	refusal  Refusal
+	feedback Feedback // for the entry node of a run
 }
 
 // Call returns the call.
@@ -76,11 +71,8 @@
 // Refusal returns the answer.
 func (r *Refuse) Refusal() Refusal { return r.refusal }
 
-// Level returns the admission level of this node.
-func (r *Refuse) Level() Level { return r.level }
-
-// Unused returns the retries that are given back.
-func (r *Refuse) Unused() int { return r.unused }
+// Feedback returns what the entry node of a run is told.
+func (r *Refuse) Feedback() Feedback { return r.feedback }
 
 // Cancel gives up an attempt or a run. Its connection is not used again.
 type Cancel struct {
@@ -280,16 +272,16 @@
 }
 
 // Deliver adds a Deliver.
-func (e *Effects) Deliver(call CallID, attempt int, level Level, unused int) {
+func (e *Effects) Deliver(call CallID, attempt int, feedback Feedback) {
 	d := e.delivers.New()
-	*d = Deliver{call: call, attempt: attempt, level: level, unused: unused}
+	*d = Deliver{call: call, attempt: attempt, feedback: feedback}
 	e.list = append(e.list, d)
 }
 
 // Refuse adds a Refuse.
-func (e *Effects) Refuse(call CallID, refusal Refusal, level Level, unused int) {
+func (e *Effects) Refuse(call CallID, refusal Refusal, feedback Feedback) {
 	r := e.refuses.New()
-	*r = Refuse{call: call, refusal: refusal, level: level, unused: unused}
+	*r = Refuse{call: call, refusal: refusal, feedback: feedback}
 	e.list = append(e.list, r)
 }
 
--- a/event.go
+++ b/event.go
@@ -61,26 +61,25 @@
 // body of an answer has not been passed on yet.
 type AttemptAnswered struct {
 	stamp
-	call    CallID
-	attempt int
-	outcome Outcome
-	reason  Reason // when not served
-	status  int    // when served
-	level   Level  // admission level of the upstream
-	unused  int    // retries that the upstream gives back
-	refused bool   // the host refused the connection
+	call     CallID
+	attempt  int
+	outcome  Outcome
+	reason   Reason   // when not served
+	status   int      // when served
+	feedback Feedback // of the upstream's node, zero if it was not reached
+	refused  bool     // the host refused the connection
 }
 
 // NewAttemptAnswered returns the answer of a backend server to an attempt.
-func NewAttemptAnswered(at Millis, call CallID, attempt, status int, level Level, unused int) *AttemptAnswered {
-	return &AttemptAnswered{stamp: stamp{at}, call: call, attempt: attempt, outcome: Served, status: status, level: level, unused: unused}
+func NewAttemptAnswered(at Millis, call CallID, attempt, status int, feedback Feedback) *AttemptAnswered {
+	return &AttemptAnswered{stamp: stamp{at}, call: call, attempt: attempt, outcome: Served, status: status, feedback: feedback}
 }
 
 // NewAttemptFailed returns the failure of an attempt.
-func NewAttemptFailed(at Millis, call CallID, attempt int, refusal Refusal, level Level, unused int, refused bool) *AttemptAnswered {
+func NewAttemptFailed(at Millis, call CallID, attempt int, refusal Refusal, feedback Feedback, refused bool) *AttemptAnswered {
 	return &AttemptAnswered{
 		stamp: stamp{at}, call: call, attempt: attempt, outcome: refusal.outcome,
-		reason: refusal.reason, level: level, unused: unused, refused: refused,
+		reason: refusal.reason, feedback: feedback, refused: refused,
 	}
 }
 
@@ -99,11 +98,8 @@
 // Status returns the status of the answer.
 func (e *AttemptAnswered) Status() int { return e.status }
 
-// Level returns the admission level of the upstream.
-func (e *AttemptAnswered) Level() Level { return e.level }
-
-// Unused returns the retries that the upstream gives back.
-func (e *AttemptAnswered) Unused() int { return e.unused }
+// Feedback returns what the upstream's node told.
+func (e *AttemptAnswered) Feedback() Feedback { return e.feedback }
 
 // Refused reports whether the upstream's host refused the connection.
 func (e *AttemptAnswered) Refused() bool { return e.refused }
--- a/node/caller.go
+++ b/node/caller.go
@@ -148,17 +148,17 @@
 		n.metrics.count("attempts_failed")
 		n.log.warn("node: attempt failed", "request", string(d.envelope.ID()), "upstream", d.target.Node().String(),
 			"outcome", refusal.Outcome().String(), "error", failure)
-		n.apply(jackdawbridge.NewAttemptFailed(n.now(), x.call, d.attempt, refusal, 0, unused, failure.Refused()))
+		n.apply(jackdawbridge.NewAttemptFailed(n.now(), x.call, d.attempt, refusal, jackdawbridge.NewFeedback(0, unused), failure.Refused()))
 		return
 	}
 	reply := answer.Reply()
 	if refusal, refused := reply.Refusal(); refused {
 		_ = answer.Body().Close()
-		n.apply(jackdawbridge.NewAttemptFailed(n.now(), x.call, d.attempt, entryRefusal(refusal), reply.Level(), reply.Unused(), false))
+		n.apply(jackdawbridge.NewAttemptFailed(n.now(), x.call, d.attempt, entryRefusal(refusal), reply.Feedback(), false))
 		return
 	}
 	x.answer = answer
-	n.apply(jackdawbridge.NewAttemptAnswered(n.now(), x.call, d.attempt, reply.Status(), reply.Level(), reply.Unused()))
+	n.apply(jackdawbridge.NewAttemptAnswered(n.now(), x.call, d.attempt, reply.Status(), reply.Feedback()))
 }
 
 // entryRefusal returns what the refusal of an upstream's node means at the entry
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -25,8 +25,7 @@
 	token    jackdawbridge.Token
 	budget   jackdawbridge.Millis
 	refusal  jackdawbridge.Refusal
-	level    jackdawbridge.Level
-	unused   int
+	feedback jackdawbridge.Feedback
 }
 
 // maxDecisions bounds the decisions that wait for the goroutine of a request.
--- a/node/node.go
+++ b/node/node.go
@@ -215,9 +215,9 @@
 	case *jackdawbridge.Run:
 		n.decide(e.Call(), decision{kind: decideRun, token: e.Token(), budget: e.Budget()})
 	case *jackdawbridge.Deliver:
-		n.decide(e.Call(), decision{kind: decideDeliver, attempt: e.Attempt(), level: e.Level(), unused: e.Unused()})
+		n.decide(e.Call(), decision{kind: decideDeliver, attempt: e.Attempt(), feedback: e.Feedback()})
 	case *jackdawbridge.Refuse:
-		n.decide(e.Call(), decision{kind: decideRefuse, refusal: e.Refusal(), level: e.Level(), unused: e.Unused()})
+		n.decide(e.Call(), decision{kind: decideRefuse, refusal: e.Refusal(), feedback: e.Feedback()})
 	case *jackdawbridge.Cancel:
 		if x, ok := n.exchanges[e.Call()]; ok {
 			x.abandon(e.Attempt())
--- a/node/run.go
+++ b/node/run.go
@@ -23,7 +23,7 @@
 	if in.Passage().Length() > n.limits.bodyBytes {
 		n.metrics.count("bad_input_peer")
 		n.log.warn("node: bad input of a peer refused", "request", string(envelope.ID()), "error", errBodyTooLarge)
-		n.refuseRun(in, decision{refusal: jackdawbridge.NotRunRefusal(jackdawbridge.BadInput), unused: envelope.Allowance()})
+		n.refuseRun(in, decision{refusal: jackdawbridge.NotRunRefusal(jackdawbridge.BadInput), feedback: jackdawbridge.NewFeedback(0, envelope.Allowance())})
 		return
 	}
 	x := n.open()
@@ -59,7 +59,7 @@
 // refuseRun tells the entry node that a request is refused.
 func (n *Node) refuseRun(in jackdawbridge.Inbound, d decision) {
 	n.countRefusal(d.refusal)
-	n.replied(in.Reply(jackdawbridge.RefusedReply(d.refusal, d.level, d.unused), nil, true))
+	n.replied(in.Reply(jackdawbridge.RefusedReply(d.refusal, d.feedback), nil, true))
 }
 
 // replied takes note of an answer that could not be sent. The entry node learns
@@ -214,21 +214,21 @@
 }
 
 // head returns the head of the answer for the entry node.
-func (a *backendAnswer) head(level jackdawbridge.Level, unused int) jackdawbridge.Reply {
+func (a *backendAnswer) head(feedback jackdawbridge.Feedback) jackdawbridge.Reply {
 	header := passedHeader(a.response.Header)
 	length := a.response.ContentLength
 	if a.whole && length < 0 {
 		length = int64(len(a.start))
 		header["Content-Length"] = []string{strconv.FormatInt(length, 10)}
 	}
-	return jackdawbridge.NewReply(a.response.StatusCode, header, length, level, unused)
+	return jackdawbridge.NewReply(a.response.StatusCode, header, length, feedback)
 }
 
 // deliverRun passes the answer of the own backend server on to the entry node.
 func (n *Node) deliverRun(x *exchange, d decision, in jackdawbridge.Inbound) {
 	answer := x.backend
 	outcome := jackdawbridge.Served
-	if err := passBack(answer, answer.head(d.level, d.unused), in); err != nil {
+	if err := passBack(answer, answer.head(d.feedback), in); err != nil {
 		n.metrics.count("answers_broken")
 		n.log.warn("node: answer broken", "request", string(in.Passage().Envelope().ID()), "error", err)
 		n.backend.check(false)
--- a/passage.go
+++ b/passage.go
@@ -48,23 +48,22 @@
 // Reply is the head of the answer to a Passage: that of the backend server, or a
 // refusal.
 type Reply struct {
-	status  int         // of the backend server, 0 for a refusal
-	header  http.Header // of the backend server
-	length  int64       // of the body in bytes, -1 when unknown
-	level   Level       // admission level of the upstream
-	unused  int         // retries that the upstream gives back
-	refusal Refusal     // NoReason for an answer
+	status   int         // of the backend server, 0 for a refusal
+	header   http.Header // of the backend server
+	length   int64       // of the body in bytes, -1 when unknown
+	feedback Feedback
+	refusal  Refusal // NoReason for an answer
 }
 
 // NewReply returns the head of a backend server's answer with a body of the given
 // length in bytes, -1 when it is unknown.
-func NewReply(status int, header http.Header, length int64, level Level, unused int) Reply {
-	return Reply{status: status, header: header, length: length, level: level, unused: unused}
+func NewReply(status int, header http.Header, length int64, feedback Feedback) Reply {
+	return Reply{status: status, header: header, length: length, feedback: feedback}
 }
 
 // RefusedReply returns a refusal.
-func RefusedReply(refusal Refusal, level Level, unused int) Reply {
-	return Reply{refusal: refusal, level: level, unused: unused}
+func RefusedReply(refusal Refusal, feedback Feedback) Reply {
+	return Reply{refusal: refusal, feedback: feedback}
 }
 
 // Status returns the status of the backend server, 0 for a refusal.
@@ -76,11 +75,8 @@
 // Length returns the length of the body in bytes, -1 when it is unknown.
 func (r Reply) Length() int64 { return r.length }
 
-// Level returns the admission level of the upstream.
-func (r Reply) Level() Level { return r.level }
-
-// Unused returns the retries that the upstream gives back.
-func (r Reply) Unused() int { return r.unused }
+// Feedback returns what the upstream's node tells of itself.
+func (r Reply) Feedback() Feedback { return r.feedback }
 
 // Refusal returns why the request was refused, and whether it was.
 func (r Reply) Refusal() (Refusal, bool) { return r.refusal, r.refusal.reason != NoReason }
--- a/picker/observed.go
+++ b/picker/observed.go
@@ -2,30 +2,75 @@
 
 import "github.com/jackdawbridge/jackdawbridge"
 
-// maxSlotsRatio bounds how much more an upstream gets for announcing more slots
-// than another. What is announced may be wrong; own observations decide.
-const maxSlotsRatio = 2
+const (
+	// maxSlotsRatio bounds how much more an upstream gets for announcing more slots
+	// than another. What is announced may be wrong; own observations decide.
+	maxSlotsRatio = 2
+	// farFactor is how much longer a call may take in the own data centre than in
+	// another: traffic between data centres has a price.
+	farFactor = 1.5
+)
 
-// Observed picks the better of two random candidates by own observations. It
-// believes announced slots only up to a factor.
+// Observed picks the best of two random candidates of the own data centre and two
+// of the others. It believes announced slots only up to a factor.
 type Observed struct{}
 
-// NewObserved returns a picker that compares two random candidates.
+// NewObserved returns a picker that compares up to four random candidates.
 func NewObserved() Observed { return Observed{} }
 
 // Pick returns the index of the chosen candidate.
 func (Observed) Pick(candidates []jackdawbridge.Candidate, draw uint64) int {
-	n := uint64(len(candidates))
-	if n == 1 {
-		return 0
+	near := better(candidates, false, uint32(draw))
+	far := better(candidates, true, uint32(draw>>32))
+	switch {
+	case near < 0:
+		return far
+	case far < 0:
+		return near
+	}
+	a, b := candidates[near], candidates[far]
+	if farFactor*cost(b, believed(b, a)) < cost(a, believed(a, b)) {
+		return far
+	}
+	return near
+}
+
+// better returns the index of the better of two random candidates that are far or
+// not, or -1 if there is none.
+func better(candidates []jackdawbridge.Candidate, far bool, draw uint32) int {
+	n := uint32(0)
+	for _, c := range candidates {
+		if c.Far() == far {
+			n++
+		}
+	}
+	if n == 0 {
+		return -1
 	}
 	first := draw % n
-	second := (first + 1 + (draw>>32)%(n-1)) % n
-	a, b := candidates[first], candidates[second]
-	if cost(b, believed(b, a)) < cost(a, believed(a, b)) {
-		return int(second)
+	i := nth(candidates, far, first)
+	if n == 1 {
+		return i
+	}
+	j := nth(candidates, far, (first+1+(draw>>16)%(n-1))%n)
+	if a, b := candidates[i], candidates[j]; cost(b, believed(b, a)) < cost(a, believed(a, b)) {
+		return j
+	}
+	return i
+}
+
+// nth returns the index of the n-th candidate that is far or not.
+func nth(candidates []jackdawbridge.Candidate, far bool, n uint32) int {
+	for i, c := range candidates {
+		if c.Far() != far {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
 	}
-	return int(first)
+	return -1
 }
 
 // believed returns the slots of c as far as they are believed beside another.
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -23,12 +23,18 @@
 	return int(first)
 }
 
-// failureCost is what one failure in a row weighs against one call in flight.
-const failureCost = 4
+const (
+	// failureCost is what one failure in a row weighs against one busy slot.
+	failureCost = 4
+	// idleCost is what an idle upstream counts as, in parts of its slots. Below it
+	// the time of a call decides: the fastest of several idle upstreams is used up
+	// to a part of its slots before the others get any.
+	idleCost = 0.3
+)
 
-// cost returns what a call at c is expected to cost with the given slots.
+// cost returns what a call at c is expected to cost with the given slots. With
+// all slots busy it is in proportion to the time until the call ends.
 func cost(c jackdawbridge.Candidate, slots int) float64 {
-	load := float64(c.InFlight()+1+failureCost*c.Failures()) / float64(slots)
-	latency := float64(max(c.Latency(), 1))
-	return load * latency * 1000 / float64(c.Warmth())
+	busy := float64(c.Busy()+1+failureCost*c.Failures()) / float64(slots)
+	return (idleCost + busy) * float64(c.Latency())
 }
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -173,6 +173,18 @@
 	return max(p.queue.Level(p.r.now), u.level, below)
 }
 
+// feedback returns what the entry node is told with the answer to a request, or
+// with its refusal.
+func (p *runs) feedback(u *run, level jackdawbridge.Level, unused int) jackdawbridge.Feedback {
+	until, busy := p.r.now, p.running+p.queue.Len()
+	if u.state != runWaiting {
+		until = u.began
+		busy-- // the request itself
+	}
+	occupancy := jackdawbridge.NewOccupancy(busy, p.limiter.Limit())
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived)
+}
+
 // byToken returns the run that a backend server's call belongs to.
 func (p *runs) byToken(token jackdawbridge.Token) (*run, bool) {
 	u, ok := p.tokens[token]
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -65,7 +65,7 @@
 func (p *calls) arrive(e *jackdawbridge.CallArrived) {
 	request := e.Request()
 	if len(p.active) >= maxCalls {
-		p.r.fx.Refuse(e.Call(), jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded), 0, 0)
+		p.r.fx.Refuse(e.Call(), jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded), jackdawbridge.Feedback{})
 		return
 	}
 	c := p.free.Take()
@@ -248,20 +248,21 @@
 	if !ok || c.stage != stageForward || e.Attempt() != c.attempt {
 		return
 	}
-	p.r.routes.ended(c.target, p.r.now-c.sent, e.Outcome(), e.Reason())
+	feedback := e.Feedback()
+	p.r.routes.ended(c.target, p.r.now-c.sent, e.Outcome(), e.Reason(), feedback)
 	if e.Outcome() == jackdawbridge.Served {
 		p.r.routes.reached(c.target)
 	}
-	p.learn(c, e.Level())
+	p.learn(c, feedback.Level())
 	if e.Refused() {
 		p.r.members.refused(c.target)
 	}
-	c.allowance += min(e.Unused(), c.given)
+	c.allowance += min(feedback.Unused(), c.given)
 	c.given = 0
 	if e.Outcome() == jackdawbridge.Served {
 		c.stage = stageAnswered
 		c.status = e.Status()
-		p.r.fx.Deliver(c.id, c.attempt, 0, 0)
+		p.r.fx.Deliver(c.id, c.attempt, jackdawbridge.Feedback{})
 		return
 	}
 	c.doubtful = c.doubtful || e.Outcome() == jackdawbridge.Unknown
@@ -297,7 +298,7 @@
 
 // refuse answers a call with a refusal and ends it.
 func (p *calls) refuse(c *call, refusal jackdawbridge.Refusal) {
-	p.r.fx.Refuse(c.id, refusal, 0, 0)
+	p.r.fx.Refuse(c.id, refusal, jackdawbridge.Feedback{})
 	p.r.fx.Log(jackdawbridge.PartCall, "refused, for account").About(c.request.ID(), c.target).
 		With(refusal.Reason().String()+", "+string(c.envelope.Account()), int64(refusal.RetryAfter()))
 	p.end(c, refusal.Outcome())
@@ -318,7 +319,7 @@
 		return
 	}
 	if c.stage == stageForward {
-		p.r.routes.ended(c.target, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.Cancelled)
+		p.r.routes.ended(c.target, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.Cancelled, jackdawbridge.Feedback{})
 	}
 	c.doubtful = true
 	p.r.fx.Cancel(c.id, c.attempt)
--- a/reducer/observation.go
+++ b/reducer/observation.go
@@ -19,6 +19,10 @@
 	probeSpan = 250 * jackdawbridge.Millis(1)
 	// levelLife is how long an upstream's admission level is believed.
 	levelLife = 500 * jackdawbridge.Millis(1)
+	// occupancyHalfLife is how fast an occupancy that an upstream told is forgotten,
+	// and occupancyLives the half-lives after which only own calls count.
+	occupancyHalfLife = 250 * jackdawbridge.Millis(1)
+	occupancyLives    = 8
 	// listGap is the absence from the subset after which an upstream ramps again.
 	listGap = 3 * subsetInterval
 )
@@ -37,9 +41,29 @@
 	last       jackdawbridge.Millis // when it was last in the subset
 	level      jackdawbridge.Level  // that it told last
 	levelAt    jackdawbridge.Millis
+	occupancy  jackdawbridge.Occupancy // that it told last
+	occupiedAt jackdawbridge.Millis
+	told       int // own calls in flight when it told its occupancy
 	reach      reach
 }
 
+// report takes note of an occupancy that an upstream told.
+func (o *observation) report(now jackdawbridge.Millis, occupancy jackdawbridge.Occupancy) {
+	if occupancy.Limit() > 0 {
+		o.occupancy, o.occupiedAt, o.told = occupancy, now, o.inFlight
+	}
+}
+
+// occupied returns how many requests run and wait at the upstream, and how many
+// may run: what it told, less the longer ago that was, and the own calls since.
+func (o *observation) occupied(now jackdawbridge.Millis, slots int) (busy, limit int) {
+	age := (now - o.occupiedAt) / occupancyHalfLife
+	if o.occupancy.Limit() == 0 || age > occupancyLives {
+		return o.inFlight, slots
+	}
+	return max(o.occupancy.Busy()>>age+o.inFlight-o.told, o.inFlight, 0), o.occupancy.Limit()
+}
+
 // listed takes note that the upstream is in the subset.
 func (o *observation) listed(now jackdawbridge.Millis) {
 	if o.last != 0 && now-o.last > listGap {
@@ -112,7 +136,7 @@
 	return o.failures >> min((now-o.failed)/failuresHalfLife, 32)
 }
 
-// warmth returns the weight of a ramping upstream in permille.
+// warmth returns the part of its slots that a ramping upstream gets, in permille.
 func (o *observation) warmth(now jackdawbridge.Millis) int {
 	return int(min(max((now-o.first)*fullWarmth/rampSpan, rampStart), fullWarmth))
 }
--- a/reducer/reach.go
+++ b/reducer/reach.go
@@ -128,7 +128,7 @@
 		if !p.mayRetry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed) {
 			return // the budget is used up
 		}
-		p.r.routes.ended(node, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed)
+		p.r.routes.ended(node, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, jackdawbridge.Feedback{})
 		p.r.fx.Cancel(c.id, c.attempt)
 		c.doubtful = true
 		c.allowance += c.given
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -13,21 +13,19 @@
 	// maxCandidates bounds the upstreams of a service that a node sends to in
 	// its data centre, and those in the others.
 	maxCandidates = 16
-	// minCandidates is how many local upstreams a service needs for the others
-	// to stay unused.
-	minCandidates = 2
 	// subsetInterval is how long a subset is used before it is chosen again. The
 	// members change rarely and a call must not look at all of them.
 	subsetInterval = 200 * jackdawbridge.Millis(1)
-	// rampSpan is how long a new upstream takes to get its full part of the calls.
-	rampSpan = 10 * jackdawbridge.Second
-	// rampStart is the part, in permille, that a new upstream gets at once.
+	// rampSpan is how long it takes until all slots of a new upstream are used.
+	rampSpan = 5 * jackdawbridge.Second
+	// rampStart is the part of them, in permille, that is used at once.
 	rampStart = 50
 	// avoidSpan is how long a data centre is avoided after a connection to it
 	// failed. A cut makes all of its upstreams fail, and each try takes the time
 	// of a connection attempt and a retry of the request.
 	avoidSpan = jackdawbridge.Second
-	// fullWarmth is the weight of an upstream that has ramped up, in permille.
+	// fullWarmth is the part of its slots that an upstream that has ramped up gets,
+	// in permille.
 	fullWarmth = 1000
 )
 
@@ -79,23 +77,13 @@
 	s := p.subset(service)
 	p.candidates, p.chosen = p.candidates[:0], p.chosen[:0]
 	floor := p.suspicious(s)
-	ready := p.collect(s.local, last, floor, 0)
-	// Other data centres help when the own one cannot serve: its upstreams are
-	// too few, fail, are full or have standing queues.
-	if ready < min(minCandidates, len(s.local)) || ready == 0 {
-		ready += p.collect(s.remote, last, floor, 0)
-	}
 	// With standing queues everywhere those come first that admit lesser ranks as
-	// well, then those that admit a part of the rank.
-	if ready == 0 && rank > 1 {
-		ready = p.collect(s.local, last, floor, rank-1) + p.collect(s.remote, last, floor, rank-1)
-	}
-	if ready == 0 {
-		ready = p.collect(s.local, last, floor, rank) + p.collect(s.remote, last, floor, rank)
-	}
-	if ready == 0 {
-		p.collect(s.local, last, floor, jackdawbridge.MaxRank)
-		p.collect(s.remote, last, floor, jackdawbridge.MaxRank)
+	// well, then those that admit a part of the rank, then all.
+	levels := [...]jackdawbridge.Level{0, max(rank, 1) - 1, rank, jackdawbridge.MaxRank}
+	for _, level := range levels {
+		if p.collect(s.local, last, floor, level)+p.collect(s.remote, last, floor, level) > 0 {
+			break
+		}
 	}
 	if len(p.chosen) == 0 {
 		p.fallback(s, last)
@@ -103,6 +91,7 @@
 	if len(p.chosen) == 0 {
 		return jackdawbridge.Peer{}, false
 	}
+	p.complete()
 	u := p.chosen[p.picker.Pick(p.candidates, p.random.Uint64())]
 	u.seen.probed(p.r.now)
 	return u.peer, true
@@ -176,9 +165,30 @@
 
 func (p *routes) add(u *upstream) {
 	o := u.seen
+	busy, limit := o.occupied(p.r.now, max(u.peer.Slots(), 1))
+	slots := limit * o.warmth(p.r.now) / fullWarmth
 	p.chosen = append(p.chosen, u)
-	p.candidates = append(p.candidates, jackdawbridge.NewCandidate(
-		o.inFlight, o.latencyAt(p.r.now), o.failuresAt(p.r.now), max(u.peer.Slots(), 1), o.warmth(p.r.now)))
+	p.candidates = append(p.candidates, jackdawbridge.NewCandidate(busy, o.latencyAt(p.r.now), o.failuresAt(p.r.now), slots).
+		WithDistance(u.peer.DataCentre() != p.r.self.DataCentre()))
+}
+
+// complete gives the candidates without a known latency the mean of the others.
+func (p *routes) complete() {
+	sum, known := jackdawbridge.Millis(0), jackdawbridge.Millis(0)
+	for _, u := range p.chosen {
+		if u.seen.latency > 0 {
+			sum += u.seen.latencyAt(p.r.now)
+			known++
+		}
+	}
+	if known == 0 || int(known) == len(p.chosen) {
+		return
+	}
+	for i, u := range p.chosen {
+		if u.seen.latency == 0 {
+			p.candidates[i] = p.candidates[i].WithLatency(sum / known)
+		}
+	}
 }
 
 // subset returns the upstreams of a service, chosen anew when that is due.
@@ -257,12 +267,14 @@
 }
 
 // ended takes note of how an attempt at an upstream ended.
-func (p *routes) ended(node jackdawbridge.Node, latency jackdawbridge.Millis, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) {
+func (p *routes) ended(node jackdawbridge.Node, latency jackdawbridge.Millis, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason, feedback jackdawbridge.Feedback) {
 	o, ok := p.seen[node]
 	if !ok {
 		return // gone since
 	}
 	o.inFlight = max(o.inFlight-1, 0)
+	o.report(p.r.now, feedback.Occupancy())
+	latency = max(latency-feedback.Waited(), 0)
 	if o.ended(p.r.now, latency, outcome, reason) {
 		p.r.fx.Warn(jackdawbridge.PartRoute, "ejected after failures").About("", node).With(reason.String(), int64(o.failures))
 	}
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -19,6 +19,7 @@
 type run struct {
 	id        jackdawbridge.CallID
 	envelope  jackdawbridge.Envelope
+	arrived   jackdawbridge.Millis
 	deadline  jackdawbridge.Millis
 	state     runState
 	token     jackdawbridge.Token // set while the request runs
@@ -108,6 +109,7 @@
 	u := p.free.Take()
 	u.id = e.Call()
 	u.envelope = envelope
+	u.arrived = p.r.now
 	u.deadline = p.r.now + envelope.Budget()
 	u.allowance = envelope.Allowance()
 	p.active[u.id] = u
@@ -157,7 +159,7 @@
 	}
 	u.state = runAnswered
 	u.status = e.Status()
-	p.r.fx.Deliver(u.id, 0, p.level(u), u.allowance)
+	p.r.fx.Deliver(u.id, 0, p.feedback(u, p.level(u), u.allowance))
 	u.allowance = 0
 }
 
@@ -168,7 +170,7 @@
 	if !ok || u.state != runRunning {
 		return
 	}
-	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.level(u), u.allowance)
+	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused").About(u.envelope.ID(), p.r.self.Node()).With(e.Reason().String(), int64(p.running))
 	p.stop(u, true)
 	p.pump()
@@ -199,7 +201,7 @@
 	if outcome == jackdawbridge.NotRun {
 		refusal = jackdawbridge.NotRunRefusal(jackdawbridge.BackendDown)
 	}
-	p.r.fx.Refuse(u.id, refusal, p.level(u), u.allowance)
+	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.level(u), u.allowance))
 }
 
 // stop forgets a run and frees its slot. The calls that the backend server
@@ -236,7 +238,7 @@
 
 // refuse answers a request that did not run.
 func (p *runs) refuse(u *run, refusal jackdawbridge.Refusal) {
-	p.r.fx.Refuse(u.id, refusal, p.queue.Level(p.r.now), u.envelope.Allowance())
+	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.queue.Level(p.r.now), u.envelope.Allowance()))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "refused").About(u.envelope.ID(), p.r.self.Node()).With(refusal.Reason().String(), 0)
 	p.forget(u)
 }
@@ -297,7 +299,7 @@
 	}
 	p.r.fx.Cancel(u.id, 0)
 	if u.state == runRunning {
-		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.level(u), 0)
+		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.feedback(u, p.level(u), 0))
 	}
 	p.stop(u, true)
 	p.pump()
--- a/wire/head.go
+++ b/wire/head.go
@@ -52,8 +52,10 @@
 	}
 	p := &pb.Reply{
 		Status: int64(r.Status()), Fields: fromHeader(r.Header()), Length: r.Length(),
-		Level: uint32(r.Level()), Unused: int64(r.Unused()),
 	}
+	f := r.Feedback()
+	p.Level, p.Unused, p.Waited = uint32(f.Level()), int64(f.Unused()), int64(f.Waited())
+	p.Busy, p.Limit = int64(f.Occupancy().Busy()), int64(f.Occupancy().Limit())
 	if refusal, refused := r.Refusal(); refused {
 		p.Refusal = fromRefusal(refusal)
 	}
@@ -72,14 +74,15 @@
 	}
 	var d decoder
 	var reply jackdawbridge.Reply
-	level := enum[jackdawbridge.Level](&d, p.Level)
+	feedback := jackdawbridge.NewFeedback(enum[jackdawbridge.Level](&d, p.Level), int(p.Unused)).
+		WithOccupancy(jackdawbridge.NewOccupancy(int(p.Busy), int(p.Limit)), jackdawbridge.Millis(p.Waited))
 	if p.Refusal != nil {
 		if p.Status != 0 {
 			d.fail(errors.Errorf("refusal comes with status %d", p.Status))
 		}
-		reply = jackdawbridge.RefusedReply(d.refusal(p.Refusal), level, int(p.Unused))
+		reply = jackdawbridge.RefusedReply(d.refusal(p.Refusal), feedback)
 	} else {
-		reply = jackdawbridge.NewReply(int(p.Status), d.header(p.Fields), p.Length, level, int(p.Unused))
+		reply = jackdawbridge.NewReply(int(p.Status), d.header(p.Fields), p.Length, feedback)
 	}
 	if d.err == nil {
 		d.err = reply.Check()
