reducer, platform: calls of a backend server inherit the rank of their request

Ruled out: ranks by route alone, since all internal routes have the same priority. The picker leaves the own data centre for less only where its slots are in use.

--- a/picker/observed.go
+++ b/picker/observed.go
@@ -6,9 +6,12 @@
 	// maxSlotsRatio bounds how much more an upstream gets for announcing more slots
 	// than another. What is announced may be wrong; own observations decide.
 	maxSlotsRatio = 2
-	// farFactor is how much longer a call may take in the own data centre than in
-	// another: traffic between data centres has a price.
-	farFactor = 1.5
+	// Traffic between data centres has a price. freeFactor is how much longer a call
+	// may take in the own data centre than in another while slots are free there,
+	// and busyFactor from busyPart of the slots on.
+	freeFactor = 4
+	busyFactor = 1.2
+	busyPart   = 0.7
 )
 
 // Observed picks the best of two random candidates of the own data centre and two
@@ -29,7 +32,11 @@
 		return near
 	}
 	a, b := candidates[near], candidates[far]
-	if farFactor*cost(b, believed(b, a)) < cost(a, believed(a, b)) {
+	factor := float64(freeFactor)
+	if float64(a.Busy()+1) > busyPart*float64(a.Slots()) {
+		factor = busyFactor
+	}
+	if factor*cost(b, believed(b, a)) < cost(a, believed(a, b)) {
 		return far
 	}
 	return near
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -124,6 +124,7 @@
 	binary.LittleEndian.PutUint64(u.token[:8], p.r.random.Uint64())
 	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
 	p.tokens[u.token] = u
+	p.requests[u.envelope.ID()] = u
 	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
 }
 
@@ -224,7 +225,7 @@
 		u.away += p.r.now - u.asked
 	}
 	// An answered run has given its retries back already.
-	if u.state == runRunning {
+	if c.lent && u.state == runRunning {
 		u.allowance += c.allowance
 	}
 }
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -38,6 +38,7 @@
 	given     int                  // retries given to the attempt in progress
 	parent    jackdawbridge.CallID // run whose token the request carried
 	child     bool                 // parent is set
+	lent      bool                 // allowance comes from the parent
 	next      *call                // of the same run
 	previous  *call                // of the same run
 	route     *jackdawbridge.Route // that covers the request
@@ -118,9 +119,28 @@
 	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, p.r.routes.destination(c.request.Service(), route), route.Criticality(), c.request.Budget()).
 		WithBought(bought).
 		WithIdempotent(route.Idempotent())
+	if parent, ok := p.r.runs.requests[c.request.Parent()]; ok && account == "" {
+		p.tie(c, parent)
+	}
 	return jackdawbridge.NoReason
 }
 
+// tie takes a call on an open route for one that the own backend server makes for
+// a request that it runs. It inherits importance and deadline, and ends with the
+// run. Who makes such a call without being the backend server gains the rank of
+// a request whose id it knows, and nothing else.
+func (p *calls) tie(c *call, parent *run) {
+	c.child = true
+	c.parent = parent.id
+	p.r.runs.attach(parent, c)
+	c.deadline = min(c.deadline, parent.deadline)
+	p.deadlines.Set(c.id, c.deadline)
+	c.envelope = c.envelope.
+		WithCriticality(parent.envelope.Criticality()).
+		WithBought(parent.envelope.Bought()).
+		WithDepth(min(parent.envelope.Depth()+1, jackdawbridge.MaxDepth))
+}
+
 // identifyChild fills in the envelope of a call that a backend server makes for
 // the request it runs. It inherits account, importance, deadline and allowance.
 func (p *calls) identifyChild(c *call, route *jackdawbridge.Route) jackdawbridge.Reason {
@@ -131,7 +151,7 @@
 	if parent.envelope.Depth() >= jackdawbridge.MaxDepth {
 		return jackdawbridge.TooDeep
 	}
-	c.child = true
+	c.child, c.lent = true, true
 	c.parent = parent.id
 	c.allowance = parent.lend()
 	p.r.runs.attach(parent, c)
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -86,10 +86,13 @@
 // to the entry of a backend server's call with the answer of the run.
 func (p *calls) learn(c *call, level jackdawbridge.Level) {
 	p.r.routes.learn(c.target, c.levelKey(), level)
-	if c.internal() {
-		p.r.runs.below.learn(p.r.now, level)
+	if !c.child {
+		if c.internal() {
+			p.r.runs.below.learn(p.r.now, level)
+		}
+		return
 	}
-	if u, ok := p.r.runs.active[c.parent]; c.child && ok {
+	if u, ok := p.r.runs.active[c.parent]; ok {
 		u.level = max(u.level, level)
 	}
 }
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -39,9 +39,10 @@
 	r         *Reducer
 	limiter   jackdawbridge.Limiter
 	queue     jackdawbridge.Queue
-	active    map[jackdawbridge.CallID]*run // waiting and running
-	tokens    map[jackdawbridge.Token]*run  // running only
-	running   int                           // at most the limiter's limit
+	active    map[jackdawbridge.CallID]*run    // waiting and running
+	tokens    map[jackdawbridge.Token]*run     // running only
+	requests  map[jackdawbridge.RequestID]*run // running only, the newest of each request
+	running   int                              // at most the limiter's limit
 	deadlines heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	free      *pool.Pool[run]
 	transits  transits
@@ -54,9 +55,10 @@
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
 	return runs{
 		r: r, limiter: limiter, queue: queue, transits: make(transits),
-		active: make(map[jackdawbridge.CallID]*run),
-		tokens: make(map[jackdawbridge.Token]*run),
-		free:   pool.New[run](64),
+		active:   make(map[jackdawbridge.CallID]*run),
+		tokens:   make(map[jackdawbridge.Token]*run),
+		requests: make(map[jackdawbridge.RequestID]*run),
+		free:     pool.New[run](64),
 	}
 }
 
@@ -216,6 +218,9 @@
 	}
 	p.observe(u, dropped)
 	delete(p.tokens, u.token)
+	if p.requests[u.envelope.ID()] == u {
+		delete(p.requests, u.envelope.ID())
+	}
 	p.forget(u)
 }
 
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -141,6 +141,8 @@
 		h.run(jackdawbridge.Millis(number(d, "ms", 0)))
 	case "results":
 		return h.summary(), nil
+	case "result":
+		return h.resultOf(jackdawbridge.RequestID(arg(d, "id", ""))), nil
 	case "forget-results":
 		clear(h.results)
 	case "executions":
@@ -291,7 +293,7 @@
 }
 
 // calls sends requests: call node=a id=r1 service=s path=/p key=k
-// [idempotency=key] [count=n every=ms] [budget=ms] [untied].
+// [idempotency=key] [count=n every=ms] [budget=ms] [untied] [parent=id].
 func (h *harness) calls(d *datadriven.TestData) (string, error) {
 	node, id, count := arg(d, "node", ""), arg(d, "id", "r"), number(d, "count", 1)
 	every := jackdawbridge.Millis(number(d, "every", 1))
@@ -300,7 +302,8 @@
 	}
 	service, method, path := jackdawbridge.ServiceName(arg(d, "service", "")), arg(d, "method", "GET"), arg(d, "path", "/")
 	budget := jackdawbridge.Millis(number(d, "budget", 1000))
-	key, idempotency, untied := arg(d, "key", ""), arg(d, "idempotency", ""), d.HasArg("untied")
+	key, idempotency, parent := arg(d, "key", ""), arg(d, "idempotency", ""), arg(d, "parent", "")
+	untied := d.HasArg("untied") || parent != ""
 	for i := range count {
 		name := id
 		if count > 1 {
@@ -312,7 +315,7 @@
 				request.WithKey(keyHash(key))
 			}
 			if untied {
-				request.WithUntied()
+				request.WithUntied(jackdawbridge.RequestID(parent))
 			}
 			h.call(node, request.WithIdempotency(idempotency))
 		})
@@ -323,12 +326,8 @@
 // summary returns how the requests ended, with a count for each end.
 func (h *harness) summary() string {
 	ends := make(map[string]int)
-	for _, r := range h.results {
-		end := "served"
-		if !r.served {
-			end = r.refusal.Outcome().String() + " " + r.refusal.Reason().String()
-		}
-		ends[end]++
+	for id := range h.results {
+		ends[h.resultOf(id)]++
 	}
 	lines := make([]string, 0, len(ends))
 	for end, n := range ends {
@@ -338,6 +337,18 @@
 	return strings.Join(lines, "\n")
 }
 
+// resultOf returns how a request ended.
+func (h *harness) resultOf(id jackdawbridge.RequestID) string {
+	r, ok := h.results[id]
+	switch {
+	case !ok:
+		return "none"
+	case r.served:
+		return "served"
+	}
+	return r.refusal.Outcome().String() + " " + r.refusal.Reason().String()
+}
+
 // crashCounts returns how often each node's backend server crashed.
 func (h *harness) crashCounts() string {
 	var lines []string
--- a/request.go
+++ b/request.go
@@ -7,13 +7,14 @@
 	service     ServiceName
 	method      string
 	path        string
-	key         KeyHash // zero without a key
-	keyed       bool    // a key came with the request
-	token       Token   // zero for callers
-	idempotency string  // idempotency key, empty without one
-	budget      Millis  // time left to the deadline, above 0
-	untied      bool    // may be a call of the own backend server that names no run
-	body        uint64  // digest of the body, 0 when unknown
+	key         KeyHash   // zero without a key
+	keyed       bool      // a key came with the request
+	token       Token     // zero for callers
+	idempotency string    // idempotency key, empty without one
+	budget      Millis    // time left to the deadline, above 0
+	untied      bool      // may be a call of the own backend server that brings no token
+	parent      RequestID // that the own backend server seems to make the call for, if untied
+	body        uint64    // digest of the body, 0 when unknown
 }
 
 // NewRequest returns a request without a key that must be answered within budget.
@@ -47,12 +48,17 @@
 }
 
 // WithUntied marks r as one that the own backend server may have sent for a
-// request that it runs, without a token that says for which, and returns r.
-func (r *Request) WithUntied() *Request {
-	r.untied = true
+// request that it runs, without a token, and returns r. The parent is the id of
+// that request as far as the call tells, or empty.
+func (r *Request) WithUntied(parent RequestID) *Request {
+	r.untied, r.parent = true, parent
 	return r
 }
 
+// Parent returns the id of the request for which the own backend server seems to
+// have sent r, or "".
+func (r *Request) Parent() RequestID { return r.parent }
+
 // Untied reports whether the own backend server may have sent r without a token.
 func (r *Request) Untied() bool { return r.untied }
 
@@ -121,6 +127,12 @@
 	return e
 }
 
+// WithCriticality returns e with the given criticality.
+func (e Envelope) WithCriticality(criticality Criticality) Envelope {
+	e.criticality = criticality
+	return e
+}
+
 // WithIdempotent returns e marked as idempotent or not.
 func (e Envelope) WithIdempotent(idempotent bool) Envelope {
 	e.idempotent = idempotent
