reducer: the connections of an upstream do not bound the calls to it

The node beside the upstream is the only one that connects to it. Change: the bound is the length of an upstream's queue, which sheds by rank.

--- a/reducer/route.go
+++ b/reducer/route.go
@@ -13,6 +13,10 @@
 	// maxCandidates bounds the upstreams of a service that a node sends to in
 	// its data centre, and those in the others.
 	maxCandidates = 16
+	// maxInFlight bounds the calls of a node at one upstream. It is the length of an
+	// upstream's queue: below that the queue decides by rank what is shed, and a
+	// bound here would not.
+	maxInFlight = 1024
 	// subsetInterval is how long a subset is used before it is chosen again. The
 	// members change rarely and a call must not look at all of them.
 	subsetInterval = 200 * jackdawbridge.Millis(1)
@@ -129,7 +133,7 @@
 		o := u.seen
 		switch {
 		case u.peer.Node() == last,
-			o.inFlight >= max(u.peer.Conns(), 1),
+			o.inFlight >= maxInFlight,
 			o.reach.lost,
 			!floor && o.ejected(p.r.now),
 			o.admits(p.r.now) > level,
@@ -152,7 +156,7 @@
 func (p *routes) fallback(s *subset, last jackdawbridge.Node) {
 	for _, list := range [2][]upstream{s.local, s.remote} {
 		for i := range list {
-			if list[i].seen.inFlight < max(list[i].peer.Conns(), 1) && list[i].peer.Node() != last {
+			if list[i].seen.inFlight < maxInFlight && list[i].peer.Node() != last {
 				p.add(&list[i])
 			}
 		}
