outcome, queue: paid priority ranks below critical requests and above all others

Traced: a sheddable request of the account (rank 2) waited 200 ms each at three ridegate upstreams behind normal and high requests of other accounts and was dropped. Priority that counts within a criticality only does not work the moment it is needed.

Change: ranks are, from below: sheddable, normal, high, the same three with paid priority, critical, critical with paid priority. A standing queue lets a request wait 100 ms for each step of its rank.

--- a/outcome.go
+++ b/outcome.go
@@ -99,15 +99,26 @@
 // upstream admits. Ranks rise with importance; 0 admits all.
 type Level uint8
 
-// Rank returns the importance of a request. Criticality decides first and paid
-// priority second.
+// Rank returns the importance of a request. Critical requests come first, below
+// them those of accounts with paid priority, then all others. Criticality decides
+// within each group, and paid priority between critical requests.
 func Rank(c Criticality, bought bool) Level {
-	rank := Level(c)*2 + 1
-	if bought {
-		rank++
+	switch {
+	case c == Critical && bought:
+		return MaxRank
+	case c == Critical:
+		return CriticalRank
+	case bought:
+		return PaidRank + Level(c)
 	}
-	return rank
+	return Level(c) + 1
 }
 
-// MaxRank is the rank of the most important requests.
-const MaxRank = Level(Critical)*2 + 2
+const (
+	// PaidRank is the least rank of requests with paid priority.
+	PaidRank = Level(Critical) + 1
+	// CriticalRank is the least rank of critical requests.
+	CriticalRank = PaidRank + Level(Critical)
+	// MaxRank is the rank of the most important requests.
+	MaxRank = CriticalRank + 1
+)
--- a/queue/priority.go
+++ b/queue/priority.go
@@ -12,12 +12,12 @@
 	// accounts of a rank share one flow.
 	maxFlows = 256
 	// longestWait is how long a call may wait in a standing queue, for each step
-	// of criticality. A longer wait uses up the time that the calls further down
+	// of its rank. A longer wait uses up the time that the calls further down
 	// the chain need. Critical calls wait until their deadline: with a limit of
 	// 600 to 1000 ms one node shed them while another admitted lesser calls.
 	longestWait = 100 * jackdawbridge.Millis(1)
 	// critical is the least rank of critical calls.
-	critical = int(jackdawbridge.Critical)*2 + 1
+	critical = int(jackdawbridge.CriticalRank)
 )
 
 const (
@@ -339,10 +339,10 @@
 	return jackdawbridge.Waiting{}, false
 }
 
-// patience returns how long a call of a rank below critical may wait in a
-// standing queue. Paid priority waits as long as the next criticality.
+// patience returns how long a call of a rank below critical may wait in a standing
+// queue.
 func patience(rank int) jackdawbridge.Millis {
-	return longestWait * jackdawbridge.Millis(rank/2+1)
+	return longestWait * jackdawbridge.Millis(rank)
 }
 
 func (q *Priority) take(i int32) jackdawbridge.Waiting {
--- a/reducer/level.go
+++ b/reducer/level.go
@@ -18,9 +18,6 @@
 	shedRetryAfter = jackdawbridge.Second
 )
 
-// criticalRank is the least rank of critical requests.
-const criticalRank = jackdawbridge.Level(jackdawbridge.Critical)*2 + 1
-
 // levelKey names a route. The requests of a route make the same calls below,
 // and so need the same services to have room.
 type levelKey struct {
@@ -64,20 +61,16 @@
 	return max(l.level-int(min(silent, 10*jackdawbridge.Second)*levelUnit/levelDecay), 0)
 }
 
-// paidLead is how many ranks a request with paid priority may be below the
-// learned level. The nodes learn a level at different times, so the upstream's
-// queue decides about such a request.
-const paidLead = 4
-
-// sheds reports whether a request is below the admission level of its route.
-// Paid priority does not keep a request where critical ones are shed.
+// sheds reports whether a request is below the admission level of its route. The
+// nodes learn a level at different times, so the upstream's queue decides about
+// requests with paid priority unless critical ones are shed as well.
 func (p *routes) sheds(key levelKey, rank jackdawbridge.Level, paid bool) bool {
 	l, ok := p.levels[key]
 	if !ok {
 		return false
 	}
-	if paid && rank < criticalRank {
-		rank = min(rank+paidLead, criticalRank-1)
+	if paid && rank < jackdawbridge.CriticalRank {
+		rank = jackdawbridge.CriticalRank - 1
 	}
 	return int(rank) < l.current(p.r.now)/levelUnit
 }
