log: named attributes, JSON on standard output, explain, histograms

The end of a call at its entry node is one line with account, service, revision, attempts, time, reason and learned level; a run has lines for its start, refusal and wait.

--- a/cmd/jackdawbridge/main.go
+++ b/cmd/jackdawbridge/main.go
@@ -18,6 +18,7 @@
 	Show    showCommand    `cmd:"" help:"Print the configuration in the platform's service."`
 	Keys    keysCommand    `cmd:"" help:"Give, withdraw and list keys."`
 	Status  statusCommand  `cmd:"" help:"Print the status of a node."`
+	Explain explainCommand `cmd:"" help:"Print the way of a request from the logs of the nodes."`
 }
 
 func main() {
--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/netip"
 	"os"
@@ -54,6 +55,7 @@
 	RPC        string   `required:"" name:"rpc" help:"Address for large messages of peers, IP:PORT."`
 	Backend    string   `required:"" help:"Address for the own backend server, IP:PORT; on loopback or at the IP address of peers."`
 	Admin      string   `required:"" help:"Address for operators, IP:PORT; on loopback or at the IP address of peers."`
+	Metrics    string   `help:"Address for collectors of metrics, IP:PORT; left out, the address for operators serves them only."`
 	Secret     []string `required:"" help:"Fleet secrets; the first one signs, all are accepted."`
 	Join       []string `help:"Gossip addresses of nodes to join, IP:PORT."`
 
@@ -80,6 +82,7 @@
 	RetryBurst     int           `default:"10" help:"Retries of a service that a node may save up."`
 	Floors         bool          `help:"Let nodes spend a part of an account's rate while no home of their data centre answers."`
 	Linger         time.Duration `default:"2s" help:"Time between a stop and the end of the listeners."`
+	LogFormat      string        `default:"json" enum:"json,text" help:"Format of log lines on standard output: json, as explain reads it, or text."`
 	LogLevel       string        `default:"info" enum:"debug,info,warn,error" help:"Least level of log lines: debug, info, warn or error."`
 }
 
@@ -101,12 +104,21 @@
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		return flagError("log-level", c.LogLevel, "debug, info, warn or error")
 	}
-	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("instance", c.Instance)
+	logger := slog.New(c.logHandler(os.Stdout, level)).With("instance", c.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return c.serve(ctx, self, joins, addresses, limits, logger)
 }
 
+// logHandler returns what writes log lines.
+func (c *nodeCommand) logHandler(w io.Writer, level slog.Level) slog.Handler {
+	options := &slog.HandlerOptions{Level: level}
+	if c.LogFormat == "text" {
+		return slog.NewTextHandler(w, options)
+	}
+	return slog.NewJSONHandler(w, options)
+}
+
 // serve assembles the node and runs it until the context ends and the node has
 // stopped.
 func (c *nodeCommand) serve(ctx context.Context, self jackdawbridge.Peer, joins []jackdawbridge.Peer, addresses node.Addresses, limits node.Limits, logger *slog.Logger) error {
@@ -234,6 +246,13 @@
 	if err != nil {
 		return addresses, self, err
 	}
+	if c.Metrics != "" {
+		a, err := addrPort("metrics", c.Metrics)
+		if err != nil {
+			return addresses, self, err
+		}
+		addresses = addresses.WithMetrics(a)
+	}
 	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(jackdawbridge.Instance(c.Instance), 1), jackdawbridge.DataCentre(c.DataCentre),
 		jackdawbridge.NewAddresses(parsed["gossip"], parsed["rpc"], parsed["peers"]))
 	return addresses, self, nil
--- a/identity.go
+++ b/identity.go
@@ -30,6 +30,9 @@
 // Fingerprint identifies requests with the same account, method, path and body.
 type Fingerprint uint64
 
+// String returns f in hexadecimal digits.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Node identifies one process of one instance.
 type Node struct {
 	instance    Instance
--- a/node/admin.go
+++ b/node/admin.go
@@ -21,6 +21,8 @@
 	Stopping    bool   `json:"stopping"`
 	Calls       int    `json:"calls"`
 	Runs        int    `json:"runs"`
+	Waiting     int    `json:"waiting"`
+	Limit       int    `json:"limit"`
 	Members     int    `json:"members"`
 }
 
@@ -32,6 +34,12 @@
 	return mux
 }
 
+func (n *Node) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", n.serveMetrics)
+	return mux
+}
+
 func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	s := n.Status()
 	self := s.Self()
@@ -41,7 +49,7 @@
 		Service: string(self.Service()), State: self.State().String(), Slots: self.Slots(),
 		Epoch: s.Digest().Epoch(), Confirmed: int64(s.Digest().Confirmed()),
 		Ready: s.Ready(), Stopping: s.Stopping(),
-		Calls: s.Calls(), Runs: s.Runs(), Members: s.Members(),
+		Calls: s.Calls(), Runs: s.Runs(), Waiting: s.Waiting(), Limit: s.Limit(), Members: s.Members(),
 	})
 }
 
@@ -57,7 +65,11 @@
 	s := n.Status()
 	n.metrics.set("calls_in_progress", int64(s.Calls()))
 	n.metrics.set("runs_in_progress", int64(s.Runs()))
+	n.metrics.set("runs_waiting", int64(s.Waiting()))
+	n.metrics.set("runs_limit", int64(s.Limit()))
 	n.metrics.set("members", int64(s.Members()))
+	n.metrics.set("ranges_epoch", int64(s.Digest().Epoch()))
+	n.metrics.set("tables_confirmed_age_milliseconds", int64(s.Digest().Confirmed()))
 	n.metrics.set("revision_config", int64(s.Digest().Config()))
 	n.metrics.set("revision_keys", int64(s.Digest().Keys()))
 	n.metrics.set("log_lines_dropped", n.log.dropped.Load())
--- a/node/caller.go
+++ b/node/caller.go
@@ -40,7 +40,7 @@
 	defer n.end(x)
 	n.apply(jackdawbridge.NewCallArrived(n.now(), x.call, in.head.Request()))
 	n.follow(w, r, x, in)
-	n.metrics.observe("call_milliseconds", time.Since(began))
+	n.metrics.calls.observe(time.Since(began))
 }
 
 // readCall reads what the reducer needs to know of a request.
--- a/node/listen.go
+++ b/node/listen.go
@@ -20,6 +20,7 @@
 	callers netip.AddrPort
 	backend netip.AddrPort // for the instance only
 	admin   netip.AddrPort // for the instance only
+	metrics netip.AddrPort // for collectors, zero if admin serves them only
 }
 
 // NewAddresses returns the addresses of the listeners. The backend server and
@@ -34,6 +35,12 @@
 	return Addresses{callers: callers, backend: backend, admin: admin}, nil
 }
 
+// WithMetrics returns a with a listener of its own for the metrics.
+func (a Addresses) WithMetrics(metrics netip.AddrPort) Addresses {
+	a.metrics = metrics
+	return a
+}
+
 // settleTime is the time for handshakes that have begun to complete and for
 // their connections to be accepted. It is above the time of a round trip
 // between regions.
@@ -49,7 +56,11 @@
 		{"callers", n.addresses.callers, http.HandlerFunc(n.serveCaller)},
 		{"backend", n.addresses.backend, http.HandlerFunc(n.serveBackend)},
 		{"admin", n.addresses.admin, n.adminHandler()},
+		{"metrics", n.addresses.metrics, n.metricsHandler()},
 	} {
+		if !l.address.IsValid() {
+			continue
+		}
 		if err := n.serve(l.name, l.address, l.handler); err != nil {
 			return err
 		}
--- a/node/log.go
+++ b/node/log.go
@@ -133,16 +133,17 @@
 	}
 	args := make([]any, 0, 8)
 	if e.Request() != "" {
-		args = append(args, "request", string(e.Request()))
+		args = append(args, slog.String("request", string(e.Request())))
 	}
 	if !e.Node().IsZero() {
-		args = append(args, "node", e.Node().String())
+		args = append(args, slog.String("node", e.Node().String()))
 	}
-	if e.Detail() != "" {
-		args = append(args, "name", e.Detail())
-	}
-	if e.Count() != 0 {
-		args = append(args, "count", e.Count())
+	for _, a := range e.Attrs() {
+		if a.Text() != "" {
+			args = append(args, slog.String(a.Key(), a.Text()))
+		} else {
+			args = append(args, slog.Int64(a.Key(), a.Number()))
+		}
 	}
 	l.write(level, e.Part().String()+": "+e.Text(), args...)
 }
--- a/node/run.go
+++ b/node/run.go
@@ -81,7 +81,7 @@
 		n.apply(jackdawbridge.NewRunRejected(n.now(), x.call, refusal.Reason()))
 	case failure == nil:
 		x.backend = answer
-		n.metrics.observe("run_milliseconds", time.Since(began))
+		n.metrics.runs.observe(time.Since(began))
 		n.apply(jackdawbridge.NewRunAnswered(n.now(), x.call, answer.response.StatusCode))
 	case ctx.Err() == nil:
 		n.runFailed(x, in.Passage().Envelope(), failure)
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		if u.envelope.Alone() {
-			p.r.fx.Log(jackdawbridge.PartAdmit, "waits to run alone, runs left").About(u.envelope.ID(), p.r.self.Node()).With("", int64(p.running))
+			p.r.fx.Log(jackdawbridge.PartAdmit, "waits to run alone").About(u.envelope.ID(), p.r.self.Node()).Int("running", int64(p.running))
 			p.held = u
 			continue
 		}
@@ -126,6 +126,8 @@
 	p.tokens[u.token] = u
 	p.requests[u.envelope.ID()] = u
 	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
+	p.r.fx.Log(jackdawbridge.PartAdmit, "runs").About(u.envelope.ID(), p.r.self.Node()).Span("waited_ms", p.r.now-u.arrived).
+		Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit())).Span("left_ms", u.deadline-p.r.now)
 }
 
 // unqueue takes a request out of the queue, or out of its wait to run alone.
--- a/reducer/authority.go
+++ b/reducer/authority.go
@@ -216,7 +216,7 @@
 	}
 	old := p.own
 	p.own, p.version, p.absent = ranges, version, false
-	p.r.fx.Log(jackdawbridge.PartAuthority, "range record, epoch").With(stateName(ranges), int64(ranges.Epoch()))
+	p.r.fx.Log(jackdawbridge.PartAuthority, "range record adopted").Str("state", stateName(ranges)).Int("epoch", int64(ranges.Epoch()))
 	p.remember()
 	p.change.follow(p, ranges)
 	p.lease.follow(p, old)
@@ -238,7 +238,7 @@
 	p.reading = false
 	if e.Status() != jackdawbridge.StoreOK {
 		p.readDue = p.r.now + storeRetry
-		p.r.fx.Warn(jackdawbridge.PartAuthority, "the platform gave no range record").With(e.Status().String(), 0)
+		p.r.fx.Warn(jackdawbridge.PartAuthority, "the platform gave no range record").Str("status", e.Status().String())
 		return
 	}
 	p.confirmed = p.readAt
@@ -265,7 +265,7 @@
 	if e.Status() != jackdawbridge.StoreOK {
 		p.change.inDoubt = true
 		p.readDue = p.r.now
-		p.r.fx.Log(jackdawbridge.PartAuthority, "change not confirmed, epoch").With(e.Status().String(), int64(written.Epoch()))
+		p.r.fx.Log(jackdawbridge.PartAuthority, "change of the range record not confirmed").Str("status", e.Status().String()).Int("epoch", int64(written.Epoch()))
 		return
 	}
 	p.adopt(written, e.Version())
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -259,7 +259,8 @@
 	}
 	p.r.routes.began(c.target)
 	p.r.fx.Forward(c.id, c.attempt, target, envelope)
-	p.r.fx.Log(jackdawbridge.PartRoute, "forwarded to").About(c.request.ID(), c.target).With(string(c.envelope.Service()), int64(c.attempt))
+	p.r.fx.Log(jackdawbridge.PartRoute, "forwarded").About(c.request.ID(), c.target).Str("service", string(c.envelope.Service())).
+		Int("attempt", int64(c.attempt)).Span("left_ms", c.deadline-p.r.now)
 }
 
 // answered decides what becomes of an attempt that was answered or failed.
@@ -283,6 +284,7 @@
 		c.stage = stageAnswered
 		c.status = e.Status()
 		p.r.fx.Deliver(c.id, c.attempt, jackdawbridge.Feedback{})
+		p.logged("answered", c).Int("status", int64(c.status))
 		return
 	}
 	c.doubtful = c.doubtful || e.Outcome() == jackdawbridge.Unknown
@@ -313,17 +315,26 @@
 		return
 	}
 	p.abandon(c)
+	p.logged("cancelled by the caller", c)
 	p.end(c, p.failure(c, jackdawbridge.Cancelled).Outcome())
 }
 
 // refuse answers a call with a refusal and ends it.
 func (p *calls) refuse(c *call, refusal jackdawbridge.Refusal) {
 	p.r.fx.Refuse(c.id, refusal, jackdawbridge.Feedback{})
-	p.r.fx.Log(jackdawbridge.PartCall, "refused, for account").About(c.request.ID(), c.target).
-		With(refusal.Reason().String()+", "+string(c.envelope.Account()), int64(refusal.RetryAfter()))
+	p.logged("refused", c).Str("reason", refusal.Reason().String()).Str("outcome", refusal.Outcome().String()).
+		Span("retry_after_ms", refusal.RetryAfter()).Int("level", int64(p.r.routes.learned(c)))
 	p.end(c, refusal.Outcome())
 }
 
+// logged adds a log line about the end of a call with what decided its way.
+func (p *calls) logged(text string, c *call) *jackdawbridge.Log {
+	return p.r.fx.Log(jackdawbridge.PartCall, text).About(c.request.ID(), c.target).
+		Str("account", string(c.envelope.Account())).Str("service", string(c.envelope.Service())).
+		Int("config", int64(p.r.settings.revision(jackdawbridge.ConfigTable))).
+		Int("attempts", int64(c.attempt)).Span("took_ms", p.r.now-c.arrived)
+}
+
 // failure returns the refusal of a call that got no answer. It says "not run"
 // only if no attempt can have reached a backend server.
 func (p *calls) failure(c *call, reason jackdawbridge.Reason) jackdawbridge.Refusal {
--- a/reducer/change.go
+++ b/reducer/change.go
@@ -140,7 +140,7 @@
 
 func (c *change) write(p *authority, version uint64, ranges *jackdawbridge.Ranges) {
 	c.swapping = ranges
-	p.r.fx.Log(jackdawbridge.PartAuthority, "writes range record, epoch").With(stateName(ranges), int64(ranges.Epoch()))
+	p.r.fx.Log(jackdawbridge.PartAuthority, "writes range record").Str("state", stateName(ranges)).Int("epoch", int64(ranges.Epoch()))
 	p.r.fx.Swap(p.name(), version, ranges, 0)
 }
 
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -32,7 +32,7 @@
 	}
 	p.stopping = true
 	p.note(jackdawbridge.PeerDraining)
-	p.r.fx.Log(jackdawbridge.PartDrain, "node stops").With("calls and runs left", int64(p.left()))
+	p.r.fx.Log(jackdawbridge.PartDrain, "node stops").Int("calls_and_runs", int64(p.left()))
 	p.r.announce(p.r.self.WithState(jackdawbridge.PeerDraining))
 	p.r.shares.release()
 	p.r.authority.release()
--- a/reducer/level.go
+++ b/reducer/level.go
@@ -61,6 +61,19 @@
 	return max(l.level-int(min(silent, 10*jackdawbridge.Second)*levelUnit/levelDecay), 0)
 }
 
+// learned returns the admission level that was learned for the route of a call, 0
+// if none was.
+func (p *routes) learned(c *call) jackdawbridge.Level {
+	if c.route == nil {
+		return 0
+	}
+	l, ok := p.levels[c.levelKey()]
+	if !ok {
+		return 0
+	}
+	return jackdawbridge.Level(l.current(p.r.now) / levelUnit)
+}
+
 // sheds reports whether a request is below the admission level of its route. The
 // nodes learn a level at different times, so the upstream's queue decides about
 // requests with paid priority unless critical ones are shed as well.
--- a/reducer/once.go
+++ b/reducer/once.go
@@ -123,7 +123,7 @@
 		p.r.calls.recorded(s.call)
 	case refusal.Reason() == jackdawbridge.HomeUnreachable:
 	default:
-		p.r.fx.Log(jackdawbridge.PartOnce, "home refused the start").About(m.Request(), jackdawbridge.Node{}).With(refusal.Reason().String(), 0)
+		p.r.fx.Log(jackdawbridge.PartOnce, "home refused the start").About(m.Request(), jackdawbridge.Node{}).Str("reason", refusal.Reason().String())
 		p.r.calls.unrecorded(s.call, refusal)
 	}
 }
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -206,7 +206,7 @@
 		return
 	}
 	p.drop(f)
-	p.r.fx.Log(jackdawbridge.PartQuarantine, "suspect cleared").With("", int64(f))
+	p.r.fx.Log(jackdawbridge.PartQuarantine, "suspect cleared").Str("fingerprint", f.String())
 }
 
 // suspect holds a crash against a request.
@@ -230,7 +230,7 @@
 	p.suspects[f] = s
 	p.expiry.Set(f, p.r.now+keep-age)
 	if s.guilty {
-		p.r.fx.Warn(jackdawbridge.PartQuarantine, "request crashes backend servers, refused").About("", id.node).With("", int64(f))
+		p.r.fx.Warn(jackdawbridge.PartQuarantine, "request crashes backend servers, refused").About("", id.node).Str("fingerprint", f.String())
 	}
 	return true
 }
--- a/reducer/reach.go
+++ b/reducer/reach.go
@@ -90,7 +90,7 @@
 	}
 	w := &o.reach
 	if w.lost {
-		p.r.fx.Log(jackdawbridge.PartRoute, "reachable again, silent for").About("", node).With("", int64(p.r.now-w.heard))
+		p.r.fx.Log(jackdawbridge.PartRoute, "reachable again").About("", node).Span("silent_ms", p.r.now-w.heard)
 	}
 	w.heard = p.r.now
 	w.pending, w.misses, w.lost = false, 0, false
@@ -110,7 +110,7 @@
 		return
 	}
 	w.lost, p.anyLost = true, true
-	p.r.fx.Warn(jackdawbridge.PartRoute, "unreachable, calls in progress").About("", node).With("", int64(o.inFlight))
+	p.r.fx.Warn(jackdawbridge.PartRoute, "unreachable").About("", node).Int("calls", int64(o.inFlight)).Span("silent_ms", p.r.now-w.heard)
 	p.r.calls.unreachable(node)
 }
 
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -203,7 +203,7 @@
 	if gap <= FreezeGap {
 		return
 	}
-	r.fx.Warn(jackdawbridge.PartMember, "the process was frozen, leases and tokens lapse").With("", int64(gap))
+	r.fx.Warn(jackdawbridge.PartMember, "the process was frozen, leases and tokens lapse").Span("gap_ms", gap)
 	r.shares.thaw()
 	r.authority.thaw()
 	r.members.thaw()
--- a/reducer/region.go
+++ b/reducer/region.go
@@ -135,7 +135,7 @@
 func (q *regions) heard(from jackdawbridge.Peer) {
 	if g := q.follow(from.DataCentre()); g != nil {
 		if g.cut() {
-			q.r.fx.Log(jackdawbridge.PartMember, "data centre can be reached again").With(string(g.name), 0)
+			q.r.fx.Log(jackdawbridge.PartMember, "data centre can be reached again").Str("data_centre", string(g.name))
 		}
 		g.missed = 0
 		q.learn(g, from)
@@ -277,7 +277,7 @@
 	}
 	g.missed++
 	if g.missed == cutAfter {
-		q.r.fx.Warn(jackdawbridge.PartMember, "data centre cannot be reached").With(string(dc), 0)
+		q.r.fx.Warn(jackdawbridge.PartMember, "data centre cannot be reached").Str("data_centre", string(dc))
 	}
 	if !g.cut() {
 		g.due = min(g.due, q.r.now)
--- a/reducer/reload.go
+++ b/reducer/reload.go
@@ -21,7 +21,7 @@
 	for _, name := range p.names {
 		pl := p.plans[name]
 		if pl.settle(p.r.now, p.r.self.DataCentre(), p.configs) {
-			p.r.fx.Log(jackdawbridge.PartShare, "quota grows").With(string(name), 0)
+			p.r.fx.Log(jackdawbridge.PartShare, "quota grows").Str("account", string(name)).Int("config", int64(p.revision))
 			p.retune(name, pl)
 		}
 		p.heldBack = p.heldBack || pl.held
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -50,7 +50,8 @@
 	if seen(outcome, reason) {
 		p.budgets.spend(c.envelope.Service())
 	}
-	p.r.fx.Log(jackdawbridge.PartRetry, "retries, retries left").About(c.request.ID(), c.target).With(reason.String(), int64(c.allowance))
+	p.r.fx.Log(jackdawbridge.PartRetry, "retries").About(c.request.ID(), c.target).Str("reason", reason.String()).Str("outcome", outcome.String()).
+		Int("attempt", int64(c.attempt)).Int("left", int64(c.allowance))
 	if reason != jackdawbridge.Overloaded {
 		p.forward(c)
 		return
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -280,7 +280,8 @@
 	o.report(p.r.now, feedback.Occupancy())
 	latency = max(latency-feedback.Waited(), 0)
 	if o.ended(p.r.now, latency, outcome, reason) {
-		p.r.fx.Warn(jackdawbridge.PartRoute, "ejected after failures").About("", node).With(reason.String(), int64(o.failures))
+		p.r.fx.Warn(jackdawbridge.PartRoute, "ejected after failures").About("", node).Str("reason", reason.String()).
+			Int("failures", int64(o.failures)).Span("for_ms", o.until-p.r.now)
 	}
 	if outcome == jackdawbridge.NotRun && reason == jackdawbridge.UpstreamFailed && o.dc != p.r.self.DataCentre() {
 		p.avoided[o.dc] = p.r.now + avoidSpan
--- a/reducer/rumor.go
+++ b/reducer/rumor.go
@@ -141,7 +141,7 @@
 	if peer.Node() != self.Node() || belief == jackdawbridge.Alive || peer.Version() < self.Version() || p.r.drain.exited {
 		return
 	}
-	p.r.fx.Warn(jackdawbridge.PartMember, "refutes a belief about this node").With(belief.String(), 0)
+	p.r.fx.Warn(jackdawbridge.PartMember, "refutes a belief about this node").Str("belief", belief.String())
 	p.prober.strain()
 	if rank(peer, belief) > int(jackdawbridge.Dead) {
 		p.r.shares.thaw()
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -74,7 +74,8 @@
 		return
 	}
 	p.limiter.Resize(e.Slots())
-	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server announced itself").With(string(e.Service()), int64(e.Slots()))
+	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server announced itself").Str("service", string(e.Service())).
+		Int("slots", int64(e.Slots())).Str("state", state.String())
 	p.r.announce(self)
 }
 
@@ -83,7 +84,8 @@
 	if p.r.self.State() == jackdawbridge.PeerStarting {
 		return
 	}
-	p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server is gone").With(string(p.r.self.Service()), int64(p.running))
+	p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server is gone").Str("service", string(p.r.self.Service())).
+		Int("running", int64(p.running)).Int("waiting", int64(p.queue.Len()))
 	p.r.quarantine.crashed(p.inFlight())
 	p.r.announce(p.r.self.WithState(jackdawbridge.PeerStarting))
 	// The next backend server starts cold.
@@ -173,7 +175,8 @@
 		return
 	}
 	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance))
-	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused").About(u.envelope.ID(), p.r.self.Node()).With(e.Reason().String(), int64(p.running))
+	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused").About(u.envelope.ID(), p.r.self.Node()).
+		Str("reason", e.Reason().String()).Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit()))
 	p.stop(u, true)
 	p.pump()
 }
@@ -244,7 +247,9 @@
 // refuse answers a request that did not run.
 func (p *runs) refuse(u *run, refusal jackdawbridge.Refusal) {
 	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.queue.Level(p.r.now), u.envelope.Allowance()))
-	p.r.fx.Log(jackdawbridge.PartAdmit, "refused").About(u.envelope.ID(), p.r.self.Node()).With(refusal.Reason().String(), 0)
+	p.r.fx.Log(jackdawbridge.PartAdmit, "refused").About(u.envelope.ID(), p.r.self.Node()).
+		Str("reason", refusal.Reason().String()).Span("waited_ms", p.r.now-u.arrived).Int("waiting", int64(p.queue.Len())).
+		Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit())).Int("level", int64(p.queue.Level(p.r.now)))
 	p.forget(u)
 }
 
--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -167,7 +167,7 @@
 	seed, found := e.Record().Value().(*jackdawbridge.Seed)
 	found = found && e.Status() == jackdawbridge.StoreOK
 	if found && seed.Peer().DataCentre() != dc {
-		p.r.fx.Warn(jackdawbridge.PartMember, "seed record names a member of another data centre").With(string(e.Name()), 0)
+		p.r.fx.Warn(jackdawbridge.PartMember, "seed record names a member of another data centre").Str("record", string(e.Name()))
 		found = false
 	}
 	if dc != p.r.self.DataCentre() {
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -128,7 +128,7 @@
 	complete := asked && heard && !alone && !early || waited >= readyGrace
 	if complete && !behind || waited >= behindGrace {
 		p.spread.settled = true
-		p.r.fx.Log(jackdawbridge.PartSettings, "ready, peers heard").With("", int64(len(p.spread.heard)))
+		p.r.fx.Log(jackdawbridge.PartSettings, "ready").Int("peers_heard", int64(len(p.spread.heard))).Span("waited_ms", waited)
 	}
 }
 
@@ -250,13 +250,15 @@
 	return table, ""
 }
 
-// refuse keeps the last good table in force and logs the reason once.
-func (p *settings) refuse(s *tableState, reason string, count int64) {
+// refuse keeps the last good table in force and logs the reason once, with the
+// version or revision that is refused, 0 if none is known.
+func (p *settings) refuse(s *tableState, reason string, offered int64) {
 	if s.refusal == reason {
 		return
 	}
 	s.refusal = reason
-	p.r.fx.Warn(jackdawbridge.PartSettings, reason).With(string(s.name), count)
+	p.r.fx.Warn(jackdawbridge.PartSettings, reason).Str("table", string(s.name)).
+		Int("in_force", int64(s.revision())).Int("offered", offered)
 }
 
 // checkEntries fails if a table holds what does not belong there.
@@ -282,7 +284,8 @@
 	} else {
 		p.index.rebuild(s.name, table.Entries())
 	}
-	p.r.fx.Log(jackdawbridge.PartSettings, "revision in force").With(string(s.name), int64(table.Revision()))
+	p.r.fx.Log(jackdawbridge.PartSettings, "revision in force").Str("table", string(s.name)).
+		Int("revision", int64(table.Revision())).Int("entries", int64(len(table.Entries())))
 	if s.name == jackdawbridge.ConfigTable {
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.regions.follow(dc)
--- a/reducer/spread.go
+++ b/reducer/spread.go
@@ -144,7 +144,7 @@
 	table, err := p.merged(s, m)
 	if err != nil {
 		p.refuse(s, "a peer's changes are refused", int64(m.Revision()))
-		p.r.fx.Log(jackdawbridge.PartSettings, err.Error()).About("", from.Node())
+		p.r.fx.Log(jackdawbridge.PartSettings, "changes are invalid").About("", from.Node()).Str("error", err.Error())
 		return
 	}
 	var changed []jackdawbridge.Entry
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -8,5 +8,6 @@
 func (r *Reducer) Status() jackdawbridge.Status {
 	ready := r.settings.ready() && !r.drain.stopping
 	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
-		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known))
+		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
+		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit())
 }
--- a/status.go
+++ b/status.go
@@ -8,6 +8,8 @@
 	stopping bool
 	calls    int // in progress at this entry node
 	runs     int // waiting and running at this node
+	waiting  int // of runs, those that wait
+	limit    int // runs that may go on at once
 	members  int // other nodes known
 }
 
@@ -24,6 +26,13 @@
 	return s
 }
 
+// WithQueue returns s with the runs that wait and how many may go on at once.
+func (s Status) WithQueue(waiting, limit int) Status {
+	s.waiting = waiting
+	s.limit = limit
+	return s
+}
+
 // Self returns the node as it announces itself.
 func (s Status) Self() Peer { return s.self }
 
@@ -42,6 +51,12 @@
 // Runs returns the requests that wait or run at this node.
 func (s Status) Runs() int { return s.runs }
 
+// Waiting returns the requests that wait at this node.
+func (s Status) Waiting() int { return s.waiting }
+
+// Limit returns how many requests this node runs at once.
+func (s Status) Limit() int { return s.limit }
+
 // Members returns how many other nodes are known.
 func (s Status) Members() int { return s.members }
 
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,152 @@
+package trace
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxLine bounds a log line in bytes.
+	maxLine = 1 << 20
+	// maxEvents bounds the warnings that are kept until the way of the request is
+	// known.
+	maxEvents = 1 << 20
+	// around is how long before and after the request a warning about one of its
+	// nodes counts as a part of its story.
+	around = time.Second
+)
+
+// Trace collects what the logs tell of one request.
+type Trace struct {
+	request string
+	lines   []Line // about the request and the calls made for it
+	events  []Line // about no request: warnings, and lines before which some were left out; at most maxEvents
+	bad     int    // lines that could not be read
+}
+
+// New returns a trace of the request with the given id. A backend server's calls
+// have ids that begin with it.
+func New(request string) *Trace { return &Trace{request: request} }
+
+// Read adds all lines of a log.
+func (t *Trace) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		line, err := ParseLine(lines.Bytes())
+		if err != nil {
+			t.bad++
+			continue
+		}
+		t.Add(line)
+	}
+	if err := lines.Err(); err != nil {
+		return errors.Errorf("read log: %w", err)
+	}
+	return nil
+}
+
+// Add takes one line.
+func (t *Trace) Add(l Line) {
+	switch {
+	case l.request == t.request, strings.HasPrefix(l.request, t.request+"."):
+		t.lines = append(t.lines, l)
+	case (l.warn && l.request == "" || l.omitted > 0) && len(t.events) < maxEvents:
+		t.events = append(t.events, l)
+	}
+}
+
+// Found reports whether the logs tell of the request.
+func (t *Trace) Found() bool { return len(t.lines) > 0 }
+
+// Bad returns how many lines could not be read.
+func (t *Trace) Bad() int { return t.bad }
+
+// Report writes the way of the request in the order of time, the warnings about
+// its nodes at that time, and how many lines its nodes left out meanwhile.
+func (t *Trace) Report(w io.Writer) error {
+	if !t.Found() {
+		return t.print(w, "no line tells of request %s\n", t.request)
+	}
+	lines := slices.Clone(t.lines)
+	byTime := func(a, b Line) int { return a.at.Compare(b.at) }
+	slices.SortStableFunc(lines, byTime)
+	first, last := lines[0].at, lines[len(lines)-1].at
+	nodes := nodesOf(lines)
+	omitted := make(map[string]int64)
+	for _, e := range t.events {
+		if e.at.Before(first.Add(-around)) || e.at.After(last.Add(around)) || !nodes[e.instance] {
+			continue
+		}
+		if e.omitted > 0 {
+			omitted[e.instance] += e.omitted
+		}
+		if e.warn && e.request == "" && (e.node == "" || nodes[e.node]) {
+			lines = append(lines, e)
+		}
+	}
+	slices.SortStableFunc(lines, byTime)
+	if err := t.print(w, "request %s from %s\n", t.request, first.UTC().Format(time.RFC3339Nano)); err != nil {
+		return err
+	}
+	for _, l := range lines {
+		if err := t.print(w, "%9.3f s %s%s\n", l.at.Sub(first).Seconds(), t.mark(l), l); err != nil {
+			return err
+		}
+	}
+	for _, name := range sorted(omitted) {
+		if err := t.print(w, "%s left out %d lines at that time\n", name, omitted[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// mark tells a call that was made for the request, and a line about no request,
+// from a line about the request itself.
+func (t *Trace) mark(l Line) string {
+	switch {
+	case l.request == "":
+		return "! "
+	case l.request != t.request:
+		return "  " + strings.TrimPrefix(l.request, t.request) + " "
+	}
+	return "  "
+}
+
+func (t *Trace) print(w io.Writer, format string, args ...any) error {
+	if _, err := fmt.Fprintf(w, format, args...); err != nil {
+		return errors.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// nodesOf returns the instances that a request came to.
+func nodesOf(lines []Line) map[string]bool {
+	nodes := make(map[string]bool)
+	for _, l := range lines {
+		nodes[l.instance] = true
+		if l.node != "" {
+			nodes[l.node] = true
+		}
+	}
+	return nodes
+}
+
+func sorted(counts map[string]int64) []string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,36 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/jackdawbridge/jackdawbridge/trace"
+)
+
+// TestScripts runs the files of testdata, whose comments name the failures that
+// they guard against. The input of "explain" is a log.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd != "explain" {
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			var request string
+			d.ScanArgs(t, "request", &request)
+			found := trace.New(request)
+			if err := found.Read(strings.NewReader(d.Input)); err != nil {
+				return err.Error()
+			}
+			var b strings.Builder
+			if err := found.Report(&b); err != nil {
+				return err.Error()
+			}
+			if found.Bad() > 0 {
+				b.WriteString("unreadable lines\n")
+			}
+			return b.String()
+		})
+	})
+}
