reducer: a stopping node goes on as an upstream

Two of three annulli servers were away at the same time: 3,138 calls found no upstream between 24 and 27 s, and the requests that they were made for failed.

Change: state stopping, between serving and draining: no holder of ranges, but an upstream. A stopping node tells that it drains 1.5 s later.

--- a/peer.go
+++ b/peer.go
@@ -9,13 +9,18 @@
 const (
 	PeerStarting PeerState = iota
 	PeerServing
+	PeerStopping // the node stops, its backend server stays and takes requests
 	PeerDraining
 	PeerLeft
 )
 
+// Upstream reports whether a member in state s takes requests for its backend
+// server.
+func (s PeerState) Upstream() bool { return s == PeerServing || s == PeerStopping }
+
 // String returns the state in lower case.
 func (s PeerState) String() string {
-	return nameOf(s, "starting", "serving", "draining", "left")
+	return nameOf(s, "starting", "serving", "stopping", "draining", "left")
 }
 
 // Addresses holds the addresses at which peers reach a node.
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -6,6 +6,11 @@
 	// drainGrace is the default of how long a draining node or backend server goes
 	// on with new forwarded requests, while the other nodes learn that it drains.
 	drainGrace = 2 * jackdawbridge.Second
+	// stopHold is how long a stopping node goes on as an upstream before it tells the
+	// others that it drains. Its backend server stays, and has no other way in until
+	// the next process is ready: restarts that overlap took two of three backend
+	// servers of a service away at once. Clients need as long to leave the node.
+	stopHold = 1500 * jackdawbridge.Millis(1)
 	// drainLimit is the default of how long a stopping node takes new calls and
 	// waits for its ranges to be taken over. Its calls end by their deadlines.
 	drainLimit = 10 * jackdawbridge.Second
@@ -17,7 +22,8 @@
 	grace    jackdawbridge.Millis // in which new forwarded requests are taken
 	limit    jackdawbridge.Millis // in which a stopping node takes new calls
 	stopping bool
-	since    jackdawbridge.Millis // when the backend server began to drain, 0 if it does not
+	stopped  jackdawbridge.Millis // when the node began to stop
+	since    jackdawbridge.Millis // when node or backend server began to drain, 0 if neither does
 	exited   bool
 }
 
@@ -30,14 +36,34 @@
 	if p.stopping {
 		return
 	}
-	p.stopping = true
-	p.note(jackdawbridge.PeerDraining)
+	p.stopping, p.stopped = true, p.r.now
 	p.r.fx.Log(jackdawbridge.PartDrain, "node stops").Int("calls_and_runs", int64(p.left()))
-	p.r.announce(p.r.self.WithState(jackdawbridge.PeerDraining))
+	if p.r.self.State() == jackdawbridge.PeerServing {
+		p.r.announce(p.r.self.WithState(jackdawbridge.PeerStopping))
+	} else {
+		p.leave()
+	}
 	p.r.shares.release()
 	p.r.authority.release()
 }
 
+// state returns what a node with a backend server that does not drain announces.
+func (p *drain) state() jackdawbridge.PeerState {
+	switch {
+	case !p.stopping:
+		return jackdawbridge.PeerServing
+	case p.r.now-p.stopped < stopHold:
+		return jackdawbridge.PeerStopping
+	}
+	return jackdawbridge.PeerDraining
+}
+
+// leave tells the others that the stopping node takes no more requests.
+func (p *drain) leave() {
+	p.note(jackdawbridge.PeerDraining)
+	p.r.announce(p.r.self.WithState(jackdawbridge.PeerDraining))
+}
+
 // note takes note of the state that the node announces.
 func (p *drain) note(state jackdawbridge.PeerState) {
 	switch {
@@ -52,7 +78,7 @@
 func (p *drain) refuses() bool { return p.since != 0 && p.r.now-p.since >= p.grace }
 
 // closed reports whether new calls are refused, because the node is about to end.
-func (p *drain) closed() bool { return p.stopping && p.r.now-p.since >= p.limit }
+func (p *drain) closed() bool { return p.stopping && p.r.now-p.stopped >= p.limit }
 
 // left returns how many calls and runs are in progress.
 func (p *drain) left() int { return len(p.r.calls.active) + len(p.r.runs.active) }
@@ -61,7 +87,10 @@
 	if !p.stopping || p.exited {
 		return never
 	}
-	for _, at := range []jackdawbridge.Millis{p.since + p.grace, p.since + p.limit} {
+	if p.since == 0 {
+		return p.stopped + stopHold
+	}
+	for _, at := range []jackdawbridge.Millis{p.since + p.grace, p.stopped + p.limit} {
 		if p.r.now < at {
 			return at
 		}
@@ -71,10 +100,16 @@
 
 // tick ends the node when nothing is left to do.
 func (p *drain) tick() {
-	if !p.stopping || p.exited || !p.refuses() || p.left() > 0 {
+	if !p.stopping || p.exited {
+		return
+	}
+	if p.since == 0 && p.r.now-p.stopped >= stopHold {
+		p.leave()
+	}
+	if !p.refuses() || p.left() > 0 {
 		return
 	}
-	if !p.r.authority.released() && p.r.now-p.since < p.limit {
+	if !p.r.authority.released() && p.r.now-p.stopped < p.limit {
 		return
 	}
 	p.exited = true
--- a/reducer/membership.go
+++ b/reducer/membership.go
@@ -92,14 +92,14 @@
 		r: r, known: make(map[jackdawbridge.Instance]*member), roster: newRoster(),
 		prober: newProber(), seeds: newSeeds(joins), regions: newRegions(r),
 	}
-	p.roster.set(r.self, r.self.State() == jackdawbridge.PeerServing)
+	p.roster.set(r.self, r.self.State().Upstream())
 	return p
 }
 
 // announce makes a change of this node known to the others.
 func (r *Reducer) announce(self jackdawbridge.Peer) {
 	r.self = self.WithVersion(self.Version() + 1)
-	r.members.roster.set(r.self, r.self.State() == jackdawbridge.PeerServing)
+	r.members.roster.set(r.self, r.self.State().Upstream())
 	r.members.rumors.add(r.self.Node().Instance(), true)
 }
 
@@ -304,7 +304,7 @@
 	before, was := m.peer, m.belief
 	m.peer, m.belief = peer, belief
 	urgent := was == jackdawbridge.Dead || belief != jackdawbridge.Alive || was == jackdawbridge.Suspect || before.State() != peer.State()
-	p.roster.set(peer, m.live() && peer.State() == jackdawbridge.PeerServing)
+	p.roster.set(peer, m.live() && peer.State().Upstream())
 	p.rumors.add(peer.Node().Instance(), urgent)
 	if m.live() {
 		p.live.add(m)
--- a/reducer/region.go
+++ b/reducer/region.go
@@ -171,7 +171,7 @@
 	m.heard = q.r.now
 	if m.peer != peer {
 		m.peer = peer
-		g.roster.set(peer, peer.State() == jackdawbridge.PeerServing)
+		g.roster.set(peer, peer.State().Upstream())
 	}
 }
 
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -64,8 +64,8 @@
 
 // announced takes note of the own backend server and tells the peers.
 func (p *runs) announced(e *jackdawbridge.BackendAnnounced) {
-	state := jackdawbridge.PeerServing
-	if e.Draining() || p.r.drain.stopping {
+	state := p.r.drain.state()
+	if e.Draining() {
 		state = jackdawbridge.PeerDraining
 	}
 	p.r.drain.note(state)
