reducer: calls wait while the home of their tokens moves; a woken peer is no witness

TestProcesses/stop (429 over rate for calls inside the rate while a node stops on a busy machine). Cause: a call waits 50 ms for a token, also when no home has answered, and is then told that its account is over its rate. Change: without floors it waits up to 0.5 s while no home of the own data centre answers, and is then refused as home unreachable.

TestRandomFaults (a restarted process serves with an older configuration). Cause, traced: at 13,935 ms a1 counted b1, b2 and b3 of the other data centre, and a0, which had woken from a freeze of 4 s in that millisecond and sent its old digest. Change: a digest tells that its sender is in doubt after a freeze, and only members of the own data centre count as witnesses.

Ruled out: naming no revisions in the digest of a woken node (a digest without revisions is also that of a new process, which must count).

--- a/message.go
+++ b/message.go
@@ -11,6 +11,7 @@
 	keys      uint64 // revision of the keys table
 	epoch     uint64 // twice the epoch of the data centre's range record, plus one once that is settled
 	confirmed Millis // time since the platform last confirmed the above, directly or relayed
+	doubtful  bool   // the sender woke from a freeze and has not looked for newer tables yet
 }
 
 // NewDigest returns a digest.
@@ -18,6 +19,17 @@
 	return Digest{config: config, keys: keys, epoch: epoch, confirmed: confirmed}
 }
 
+// WithDoubt returns d of a node that woke from a freeze and has not looked for newer
+// tables yet, or of any other.
+func (d Digest) WithDoubt(doubtful bool) Digest {
+	d.doubtful = doubtful
+	return d
+}
+
+// Doubtful reports whether the sender may not know of tables that others have for
+// long.
+func (d Digest) Doubtful() bool { return d.doubtful }
+
 // Config returns the revision of the config table.
 func (d Digest) Config() uint64 { return d.config }
 
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -203,10 +203,10 @@
 	}
 }
 
-// unfunded refuses a call whose account is over its rate.
-func (p *calls) unfunded(id jackdawbridge.CallID, after jackdawbridge.Millis) {
+// unfunded refuses a call that got no token.
+func (p *calls) unfunded(id jackdawbridge.CallID, reason jackdawbridge.Reason, after jackdawbridge.Millis) {
 	if c, ok := p.active[id]; ok && c.stage == stageToken {
-		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.OverRate).WithRetryAfter(after))
+		p.refuse(c, jackdawbridge.NotRunRefusal(reason).WithRetryAfter(after))
 	}
 }
 
--- a/reducer/floor.go
+++ b/reducer/floor.go
@@ -76,5 +76,5 @@
 		p.r.calls.funded(call)
 		return
 	}
-	p.r.calls.unfunded(call, after)
+	p.r.calls.unfunded(call, p.denial(w), after)
 }
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -308,7 +308,7 @@
 
 // send sends a message to a peer.
 func (r *Reducer) send(to jackdawbridge.Peer, message jackdawbridge.Message) {
-	r.fx.Send(to, jackdawbridge.NewFrame(r.self, r.digest(), message))
+	r.fx.Send(to, jackdawbridge.NewFrame(r.self, r.digest().WithDoubt(r.settings.spread.doubtful()), message))
 }
 
 // digest returns the newest revisions that this node knows.
--- a/reducer/share.go
+++ b/reducer/share.go
@@ -10,6 +10,10 @@
 const (
 	// maxWait bounds how long a call waits for a token.
 	maxWait = 50 * jackdawbridge.Millis(1)
+	// silentWait bounds it while no home of the own data centre answers and the node
+	// has no floor to spend: a home that stops hands over in a few hundred
+	// milliseconds, and nobody knows that the account is over its rate.
+	silentWait = 500 * jackdawbridge.Millis(1)
 	// askTimeout is when an Ask is repeated. Data centres of a region are 0.5 ms
 	// apart. With one message in five lost, maxSends fail once in 60, and those
 	// to the next home as well once in 3,500.
@@ -82,7 +86,7 @@
 func (p *shares) take(call jackdawbridge.CallID, account jackdawbridge.AccountName) {
 	w := p.walletOf(account)
 	if w == nil {
-		p.r.calls.unfunded(call, jackdawbridge.Second)
+		p.r.calls.unfunded(call, jackdawbridge.OverRate, jackdawbridge.Second)
 		return
 	}
 	w.arrived(p.r.now)
@@ -93,7 +97,7 @@
 		p.r.calls.funded(call)
 		return
 	}
-	if w.denied > p.r.now+maxWait || len(w.waiting) >= maxWaiting {
+	if w.denied > p.r.now+p.patience(w) || len(w.waiting) >= maxWaiting {
 		p.refuse(call, w, max(w.denied-p.r.now, maxWait))
 		return
 	}
@@ -102,6 +106,22 @@
 	p.seek(w)
 }
 
+// patience returns how long a call of a wallet may wait for a token.
+func (p *shares) patience(w *wallet) jackdawbridge.Millis {
+	if p.floors || p.r.now-w.heard < homeSilence {
+		return maxWait
+	}
+	return silentWait
+}
+
+// denial returns why a call of a wallet gets no token.
+func (p *shares) denial(w *wallet) jackdawbridge.Reason {
+	if w != nil && p.patience(w) > maxWait {
+		return jackdawbridge.HomeUnreachable
+	}
+	return jackdawbridge.OverRate
+}
+
 // forget drops a call that waits for a token.
 func (p *shares) forget(call jackdawbridge.CallID, account jackdawbridge.AccountName) {
 	if !p.waits.Remove(call) {
@@ -168,7 +188,7 @@
 // suspend lets the waiting calls wait for the next home that may be asked, or
 // refuses them if that is too late.
 func (p *shares) suspend(w *wallet) {
-	if w.denied <= p.r.now+maxWait {
+	if w.denied <= p.r.now+p.patience(w) {
 		if len(w.waiting) > 0 {
 			p.retries.Set(w.account, w.denied)
 		}
@@ -384,16 +404,22 @@
 	}
 }
 
-// overdue ends the wait of a call for a token.
+// overdue ends the wait of a call for a token, or lets it go on while no home
+// answers.
 func (p *shares) overdue(call jackdawbridge.CallID) {
 	w := p.wallets[p.r.calls.account(call)]
+	if w != nil && p.patience(w) > maxWait && p.r.now-p.r.calls.active[call].arrived < silentWait {
+		p.waits.Set(call, p.r.now+maxWait)
+		p.seek(w)
+		return
+	}
 	if w != nil && p.spendFloor(w) {
 		p.forget(call, w.account)
 		p.r.calls.funded(call)
 		return
 	}
 	// The end of the call removes it from its wallet.
-	p.r.calls.unfunded(call, maxWait)
+	p.r.calls.unfunded(call, p.denial(w), maxWait)
 	p.waits.Remove(call)
 }
 
--- a/reducer/spread.go
+++ b/reducer/spread.go
@@ -42,7 +42,7 @@
 	ask     jackdawbridge.Millis            // of the next questions, until settled
 	thawed  bool                            // the last wait follows a freeze, not the start
 	settled bool                            // the tables were found new enough since then
-	heard   map[jackdawbridge.Instance]bool // peers that told their revisions since then, until settled
+	heard   map[jackdawbridge.Instance]bool // peers of the own data centre that told their revisions since then, until settled
 }
 
 func newSpread(at jackdawbridge.Millis) spread {
@@ -58,6 +58,9 @@
 	clear(q.heard)
 }
 
+// doubtful reports whether newer tables may be known to others since a freeze.
+func (q *spread) doubtful() bool { return q.thawed && !q.settled }
+
 func (q *spread) wake() jackdawbridge.Millis {
 	wake := q.repair
 	if q.waves > 0 {
@@ -73,7 +76,8 @@
 func (p *settings) heard(from jackdawbridge.Peer, digest jackdawbridge.Digest) {
 	p.compare(&p.config, from, digest.Config())
 	p.compare(&p.keys, from, digest.Keys())
-	if !p.spread.settled && len(p.spread.heard) < readyPeers {
+	own := from.DataCentre() == p.r.self.DataCentre()
+	if own && !p.spread.settled && !digest.Doubtful() && len(p.spread.heard) < readyPeers {
 		p.spread.heard[from.Node().Instance()] = true
 	}
 	p.question(from, digest)
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -70,7 +70,7 @@
 	if p == nil {
 		d.fail(errors.New("digest is missing"))
 	}
-	return jackdawbridge.NewDigest(p.GetConfig(), p.GetKeys(), p.GetEpoch(), jackdawbridge.Millis(p.GetConfirmed()))
+	return jackdawbridge.NewDigest(p.GetConfig(), p.GetKeys(), p.GetEpoch(), jackdawbridge.Millis(p.GetConfirmed())).WithDoubt(p.GetDoubtful())
 }
 
 func (d *decoder) rumor(p *pb.Rumor) jackdawbridge.Rumor {
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -40,7 +40,7 @@
 }
 
 func fromDigest(d jackdawbridge.Digest) *pb.Digest {
-	return &pb.Digest{Config: d.Config(), Keys: d.Keys(), Epoch: d.Epoch(), Confirmed: int64(d.Confirmed())}
+	return &pb.Digest{Config: d.Config(), Keys: d.Keys(), Epoch: d.Epoch(), Confirmed: int64(d.Confirmed()), Doubtful: d.Doubtful()}
 }
 
 func fromRumor(r jackdawbridge.Rumor) *pb.Rumor {
