--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -104,7 +104,9 @@
 	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
 		return flagError("log-level", c.LogLevel, "debug, info, warn or error")
 	}
-	logger := slog.New(c.logHandler(os.Stdout, level)).With("instance", c.Instance)
+	output := node.NewOutput(os.Stdout)
+	defer output.Close() //nolint:errcheck // nobody reads standard output any more
+	logger := slog.New(c.logHandler(output, level)).With("instance", c.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return c.serve(ctx, self, joins, addresses, limits, logger)
--- a/node/listen.go
+++ b/node/listen.go
@@ -80,6 +80,7 @@
 func (n *Node) serve(name string, address netip.AddrPort, handler http.Handler) error {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // such a socket takes no filter, see stopHandshakes
+	config.KeepAlive = -1         // a dead connection ends by the idle time or the end of its request
 	listener, err := config.Listen(n.ctx, "tcp", address.String())
 	if err != nil {
 		return errors.Errorf("listen for %s: %w", name, err)
