--- a/node/output.go
+++ b/node/output.go
@@ -12,8 +12,9 @@
 	// outputDelay is how long a line may wait for others that go out with it. A node
 	// writes some hundred lines a second, each of which costs a system call alone.
 	outputDelay = 200 * time.Millisecond
-	// maxOutput is the size of the lines in bytes that go out without that delay.
-	maxOutput = 32 << 10
+	// maxOutput bounds the bytes of a write, but for a longer line: a collector that
+	// reads a pipe gets no part of a line then (PIPE_BUF on Linux).
+	maxOutput = 4 << 10
 )
 
 // Output writes log lines in batches. It is safe for concurrent use.
@@ -33,11 +34,11 @@
 func (o *Output) Write(line []byte) (int, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.pending = append(o.pending, line...)
-	switch {
-	case len(o.pending) >= maxOutput:
+	if len(o.pending)+len(line) > maxOutput {
 		o.flush()
-	case o.timer == nil:
+	}
+	o.pending = append(o.pending, line...)
+	if o.timer == nil {
 		o.timer = time.AfterFunc(outputDelay, o.late)
 	}
 	if err := o.err; err != nil {
--- a/node/output_test.go
+++ b/node/output_test.go
@@ -17,8 +17,8 @@
 	return len(p), nil
 }
 
-// TestOutput guards against lines that stay in memory, and against a system call for
-// each line.
+// TestOutput guards against lines that stay in memory, against a system call for each
+// line, and against writes that a pipe would divide in a line.
 func TestOutput(t *testing.T) {
 	written := make(batches, 4)
 	o := NewOutput(written)
@@ -43,7 +43,11 @@
 	if _, err := o.Write([]byte(long)); err != nil {
 		t.Fatal(err)
 	}
+	if _, err := o.Write([]byte("next\n")); err != nil {
+		t.Fatal(err)
+	}
 	await(long)
+	await("next\n")
 	if _, err := o.Write([]byte("last\n")); err != nil {
 		t.Fatal(err)
 	}
