node, reducer: log the announcements that change a backend server's state

The logs could not tell apart the ways in which a departing backend server may get requests: nothing was logged on an announcement that was ignored, the lines on announcements lacked the id, the start and the sequence number, and the lines on requests sent to the backend server are limited to 20 a second for each text, so those sent while it drains were mostly left out.

Change: one line for each announcement that changes the id, the start or the state, one for each ignored one, both with the values before it; requests sent to a draining backend server have a text of their own and the time since it began.

--- a/dialect.go
+++ b/dialect.go
@@ -116,6 +116,19 @@
 	BackendLeft                  // has signed off, but may still answer requests for a while
 )
 
+// String returns the name of the state.
+func (s BackendState) String() string {
+	switch s {
+	case BackendServing:
+		return "serving"
+	case BackendDraining:
+		return "draining"
+	case BackendLeft:
+		return "left"
+	}
+	return "invalid"
+}
+
 // Announcement is how the local backend server registers with its node and reports
 // its capacity and state.
 type Announcement struct {
--- a/node/backend.go
+++ b/node/backend.go
@@ -62,11 +62,16 @@
 // handleAnnouncement records an announcement and reports it to the reducer. It
 // ignores an outdated announcement.
 func (b *backend) handleAnnouncement(a jackdawbridge.Announcement) {
+	before := b.latestAnnouncement()
 	accepted, restarted := b.recordAnnouncement(a)
 	if !accepted {
 		b.n.metrics.count("announcements_late")
+		b.log("node: outdated announcement of the backend server ignored", a, before)
 		return
 	}
+	if a.Backend() != before.Backend() || a.Generation() != before.Generation() || a.State() != before.State() {
+		b.log("node: state of the backend server changed", a, before)
+	}
 	if restarted {
 		b.n.log.warn("node: backend server was restarted, so its requests in progress are lost", "backend", a.Backend(), "born", a.Generation())
 		b.n.apply(jackdawbridge.NewBackendLost(b.n.now()))
@@ -76,6 +81,12 @@
 	b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining))
 }
 
+// log writes a line on an announcement and on the one that was in force before it.
+func (b *backend) log(text string, a, before jackdawbridge.Announcement) {
+	b.n.log.info(text, "backend", a.Backend(), "born", a.Generation(), "sequence", a.Sequence(), "state", a.State().String(),
+		"backend_before", before.Backend(), "born_before", before.Generation(), "sequence_before", before.Sequence(), "state_before", before.State().String())
+}
+
 func (b *backend) latestAnnouncement() jackdawbridge.Announcement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -131,8 +131,13 @@
 	p.tokens[u.token] = u
 	p.requests[u.envelope.ID()] = u
 	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
-	p.r.fx.Log(jackdawbridge.PartAdmit, "request sent to the backend server").About(u.envelope.ID(), p.r.self.Node()).Duration("waited_ms", p.r.now-u.arrived).
-		Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit())).Duration("left_ms", u.deadline-p.r.now)
+	text := "request sent to the backend server"
+	if p.r.drain.drainingSince != 0 {
+		text = "request sent to the draining backend server"
+	}
+	p.r.fx.Log(jackdawbridge.PartAdmit, text).About(u.envelope.ID(), p.r.self.Node()).Duration("waited_ms", p.r.now-u.arrived).
+		Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit())).Duration("left_ms", u.deadline-p.r.now).
+		Duration("draining_ms", p.r.drain.elapsed())
 }
 
 // removeWaiting removes a request from the queue, or from its wait for exclusive
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -85,6 +85,15 @@
 	return p.drainingSince != 0 && p.r.now-p.drainingSince >= p.drainPeriod
 }
 
+// elapsed returns for how long the node or its backend server has been draining, 0 if
+// neither drains.
+func (p *drain) elapsed() jackdawbridge.Millis {
+	if p.drainingSince == 0 {
+		return 0
+	}
+	return p.r.now - p.drainingSince
+}
+
 // refusesCalls reports whether new calls are refused because the node is about to
 // exit.
 func (p *drain) refusesCalls() bool { return p.stopping && p.r.now-p.stoppingSince >= p.stopLimit }
