node: apply announcements of the backend server in the order of the decisions

Cause: handleAnnouncement decided under backend.mu whether an announcement is newer than the last one, and applied its event after the unlock, under the node's mutex. When a departure was accepted between the two, its event could be applied first and that of the earlier heartbeat last: the node served again, and the drain period began anew with the next heartbeat. After a sign-off there is no next heartbeat, so the node served until the backend server was gone. The class of fault is a check and an act under two locks. markLost had it too.

Evidence: testdata/announcements/overlap before the change: 'expected: serving, draining; found: draining, serving'.

Change: one mutex is held from the decision until the reducer has applied it, by announcements and by losses. No request waits for it.

Ruled out: a sequence number in the event, since the reducer would then decide a second time what the node has decided already.

Result: the script passes; go test -race ./node passes.

--- a/node/backend.go
+++ b/node/backend.go
@@ -35,6 +35,11 @@
 type backend struct {
 	n *Node
 
+	// order is held from the decision on an announcement or a loss until the reducer
+	// has applied it, so that the reducer gets them in the order of the decisions. It
+	// is locked before mu and before the node's mutex.
+	order sync.Mutex
+
 	mu             sync.Mutex
 	latest         jackdawbridge.Announcement // the newest accepted announcement
 	announced      bool                       // an announcement has been accepted
@@ -62,6 +67,8 @@
 // handleAnnouncement records an announcement and reports it to the reducer. It
 // ignores an outdated announcement.
 func (b *backend) handleAnnouncement(a jackdawbridge.Announcement) {
+	b.order.Lock()
+	defer b.order.Unlock()
 	before := b.latestAnnouncement()
 	accepted, restarted := b.recordAnnouncement(a)
 	if !accepted {
@@ -177,6 +184,8 @@
 // markLost reports the loss of the backend server to the reducer, once for each
 // loss.
 func (b *backend) markLost() {
+	b.order.Lock()
+	defer b.order.Unlock()
 	b.mu.Lock()
 	lost := b.alive
 	b.alive = false
