node: remember the departure of a backend server that is not the current one

Cause: recordDeparture compared a sign-off with the last announcement only. A node without one, such as a process that has just started, acknowledged the sign-off and forgot it. A heartbeat that was sent before and arrived late was then the first that the process saw, and it served. No heartbeat follows a sign-off, so it served until the heartbeat timeout. The class of fault is an acknowledgement without an effect.

Change: the last sign-off of a process that is not the current one is kept, with the time of its arrival where it names no start. Announcements of starts up to that are ignored; the generation of a start is a Unix time, which its comment now says.

--- a/dialect.go
+++ b/dialect.go
@@ -139,7 +139,7 @@
 	conns         int // at least 1
 	state         BackendState
 	slowStartLeft Millis // how much longer the backend server is slow after its start, 0 if it is not slow or if unknown
-	generation    uint64 // increases with each start of the backend server, 0 if unknown
+	generation    uint64 // Unix time of the backend server's start in milliseconds, 0 if unknown
 	sequence      uint64 // increases with each announcement after one start, 0 if unknown
 }
 
@@ -168,7 +168,7 @@
 }
 
 // WithBackend returns a with the id of the backend server, how much longer it is slow
-// after its start, and the numbers of the start and of the announcement.
+// after its start, the time of the start and the number of the announcement.
 func (a Announcement) WithBackend(id string, slowStartLeft Millis, generation, sequence uint64) Announcement {
 	a.backend, a.slowStartLeft, a.generation, a.sequence = id, slowStartLeft, generation, sequence
 	return a
@@ -180,6 +180,12 @@
 	return a
 }
 
+// WithGeneration returns a with another time of the backend server's start.
+func (a Announcement) WithGeneration(generation uint64) Announcement {
+	a.generation = generation
+	return a
+}
+
 // Backend returns the id of the backend server, or "".
 func (a Announcement) Backend() string { return a.backend }
 
@@ -203,7 +209,8 @@
 // time is unknown.
 func (a Announcement) SlowStartLeft() Millis { return a.slowStartLeft }
 
-// Generation returns the number of the backend server's start, 0 if unknown.
+// Generation returns the Unix time of the backend server's start in milliseconds, 0 if
+// unknown. It increases with each start.
 func (a Announcement) Generation() uint64 { return a.generation }
 
 // Sequence returns the number of the announcement, 0 if unknown.
--- a/node/backend.go
+++ b/node/backend.go
@@ -43,6 +43,7 @@
 	mu             sync.Mutex
 	latest         jackdawbridge.Announcement // the newest accepted announcement
 	announced      bool                       // an announcement has been accepted
+	departed       jackdawbridge.Announcement // the last departure of a process other than the one of latest; zero if there was none
 	alive          bool                       // the backend server has not been lost since the last announcement
 	client         *client.Client             // nil before the first announcement
 	heartbeatTimer *time.Timer                // restarted by each accepted announcement except a departure; nil before the first
@@ -112,7 +113,7 @@
 	}
 	same := b.announced && a.Backend() == b.latest.Backend() && a.Generation() == b.latest.Generation()
 	switch {
-	case same && b.latest.State() == jackdawbridge.BackendLeft:
+	case same && b.latest.State() == jackdawbridge.BackendLeft, b.hasDeparted(a):
 		return false, false
 	case b.announced && !a.NewerThan(b.latest):
 		return false, false
@@ -133,17 +134,27 @@
 	return true, restarted
 }
 
-// recordDeparture records that the backend server has left. The server may still
-// finish requests for a while, so it is not marked as lost. recordDeparture reports
-// false if the announcement comes from another process than the current one of the
-// backend server. A generation of 0 is unknown and matches any process. The
-// caller holds b.mu.
+// recordDeparture records that the backend server has left, and reports whether it is
+// the current one. The server may still finish requests for a while, so it is not
+// marked as lost. The departure of another process is remembered, so that a late
+// heartbeat of it is ignored. The caller holds b.mu.
 func (b *backend) recordDeparture(a jackdawbridge.Announcement) bool {
-	if !b.announced || a.Backend() != b.latest.Backend() || a.Generation() != 0 && a.Generation() != b.latest.Generation() {
-		return false
+	if b.announced && a.Backend() == b.latest.Backend() && (a.Generation() == 0 || a.Generation() == b.latest.Generation()) {
+		b.latest = b.latest.WithState(jackdawbridge.BackendLeft)
+		return true
 	}
-	b.latest = b.latest.WithState(jackdawbridge.BackendLeft)
-	return true
+	if a.Generation() == 0 {
+		a = a.WithGeneration(uint64(b.n.now()))
+	}
+	b.departed = a
+	return false
+}
+
+// hasDeparted reports whether an announcement comes from a process whose departure is
+// remembered, or from an earlier process of the same backend server. The caller holds
+// b.mu.
+func (b *backend) hasDeparted(a jackdawbridge.Announcement) bool {
+	return b.departed.State() == jackdawbridge.BackendLeft && a.Backend() == b.departed.Backend() && a.Generation() <= b.departed.Generation()
 }
 
 // heartbeatMissed marks the backend server as lost when no heartbeat has arrived
