node: do not acknowledge an announcement that has no effect

Cause: apply drops events while the node has no transport or is closed, and the announcement behind the event was acknowledged with 200. The backend server counts its drain period from there, though nothing refuses requests from then on.

Evidence: testdata/announcements/closed before the change: 'draining id=i-1: 200, no event'; want 503.

Change: apply reports whether the reducer got the event; an announcement that it did not get is answered 503, and the backend server announces itself again.

Result: the script passes; go test ./node passes.

--- a/node/backend.go
+++ b/node/backend.go
@@ -52,7 +52,8 @@
 func newBackend(n *Node) *backend { return &backend{n: n} }
 
 // serveAnnouncement serves an announcement or a heartbeat of the backend server.
-// An outdated announcement is acknowledged too, but has no effect.
+// An outdated announcement is acknowledged too, but has no effect. One that the
+// reducer does not get is not acknowledged.
 func (b *backend) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
 	a, err := b.n.deps.dialect.ReadAnnouncement(r)
 	if err != nil {
@@ -61,13 +62,16 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	b.handleAnnouncement(a)
+	if !b.handleAnnouncement(a) {
+		http.Error(w, "node is not running", http.StatusServiceUnavailable)
+		return
+	}
 	b.n.deps.dialect.AcknowledgeAnnouncement(w)
 }
 
 // handleAnnouncement records an announcement and reports it to the reducer. It
-// ignores an outdated announcement.
-func (b *backend) handleAnnouncement(a jackdawbridge.Announcement) {
+// ignores an outdated announcement. The result is false if the reducer takes no events.
+func (b *backend) handleAnnouncement(a jackdawbridge.Announcement) bool {
 	b.order.Lock()
 	defer b.order.Unlock()
 	before := b.latestAnnouncement()
@@ -75,7 +79,7 @@
 	if !accepted {
 		b.n.metrics.count("announcements_late")
 		b.log("node: outdated announcement of the backend server ignored", a, before)
-		return
+		return true
 	}
 	if a.Backend() != before.Backend() || a.Generation() != before.Generation() || a.State() != before.State() {
 		b.log("node: state of the backend server changed", a, before)
@@ -86,7 +90,7 @@
 	}
 	last := b.latestAnnouncement()
 	draining := a.State() != jackdawbridge.BackendServing
-	b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining))
+	return b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining))
 }
 
 // log writes a line on an announcement and on the one that was in force before it.
--- a/node/node.go
+++ b/node/node.go
@@ -182,12 +182,13 @@
 }
 
 // apply passes one event to the reducer, executes the effects and sets the timer
-// for the next Tick.
-func (n *Node) apply(event jackdawbridge.Event) {
+// for the next Tick. It reports false if the node is not started or closed, so that
+// the event has no effect.
+func (n *Node) apply(event jackdawbridge.Event) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed || n.transport == nil {
-		return
+		return false
 	}
 	n.effects.Reset()
 	n.deps.reducer.Apply(event, &n.effects)
@@ -195,6 +196,7 @@
 		n.execute(effect)
 	}
 	n.armTimer()
+	return true
 }
 
 // armTimer sets the timer for the next Tick, unless the timer already fires at or
