reducer: a request that runs alone does not start after the drain period

Cause: dispatch checked the drain period for requests that it took from the queue, but not for one that was taken before and waited until nothing else ran. The class of fault is a rule that holds in one of several ways to the same effect.

Change: dispatch checks once, before any of its ways to start a request, and then refuses all that wait. They were refused one by one as slots became free before.

Result: go test ./reducer -run TestScripts passes.

--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -70,9 +70,14 @@
 	return p.running < p.limiter.Limit()
 }
 
-// dispatch sends waiting requests to the backend server while it has free slots.
+// dispatch sends waiting requests to the backend server while it has free slots, or
+// refuses them all once the backend server gets no more.
 func (p *runs) dispatch() {
 	p.expire()
+	if p.r.drain.refusesRuns() {
+		p.refuseWaiting(jackdawbridge.Draining)
+		return
+	}
 	for {
 		if p.nextExclusive != nil {
 			if !p.noOtherRunning(p.nextExclusive) {
@@ -92,10 +97,6 @@
 			return
 		}
 		u := p.active[w.Call()]
-		if p.r.drain.refusesRuns() {
-			p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.Draining))
-			continue
-		}
 		if u.deadline-p.r.now < p.runTime(u).required(p.r.now) {
 			p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.DeadlinePassed))
 			continue
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -129,6 +129,7 @@
 	clockSkews       map[string]jackdawbridge.Millis    // of the clocks of new processes
 	messageDelays    map[[2]string]jackdawbridge.Millis // of messages, one way: from, to
 	droppedMessages  map[string]bool                    // messages to drop, by type and receiver
+	byAddress        bool                               // a process gets the requests that were forwarded to earlier processes of its instance
 	falseEndReported bool                               // a node received a report that a live process has ended
 	onSend           func(from, to *fakeNode, frame jackdawbridge.Frame) linkFault
 	afterStep        func(*fakeNode)                 // called after the effects of an event have been executed
@@ -424,6 +425,9 @@
 		envelope = envelope.WithFingerprint(envelope.Fingerprint(), true)
 	}
 	target := n.h.byNode(e.Target().Node())
+	if n.h.byAddress {
+		target = n.h.nodes[string(e.Target().Node().Instance())]
+	}
 	if target == nil || !target.alive {
 		n.h.after(linkDelay, func() {
 			n.attemptFailed(call, attempt, jackdawbridge.NotRunRefusal(jackdawbridge.UpstreamFailed), jackdawbridge.NewFeedback(0, envelope.RetryAllowance()), true)
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -57,6 +57,10 @@
 		h.announce(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), intArg(d, "slots", 4), arg(d, "state", "") == "draining")
 	case "crash":
 		h.nodes[arg(d, "node", "")].crash()
+	case "by-address":
+		h.byAddress = true
+	case "run-alone":
+		h.nodes[arg(d, "node", "")].exclusivePath = arg(d, "path", "")
 	case "crashes":
 		return h.crashCounts(), nil
 	case "exited":
