reducer: a drain period that may have begun before the node does not begin again

Cause: the start of a drain period is kept in the process alone. A node that was killed and started beside a draining backend server counted a whole drain period from the first heartbeat that the new process got. Peers in other data centres may send to its address by a record of the earlier process.

Evidence: testdata/departure-restart before the change: 'served: 1', 2.2 s after the announcement to the earlier process; want 'not-run draining: 1'. The fake link rejects requests for an earlier process, which the real one does not; the script command by-address makes it behave like the real one.

Change: a backend server that drains already when its node learns of it gets no requests. Peers know such a node as starting and do not choose it, so no capacity is lost.

Result: go test ./reducer -run TestScripts passes.

--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -79,6 +79,16 @@
 	}
 }
 
+// recordBackendDrain updates drainingSince for a backend server that drains. One that
+// drains already when the node learns of it may have been acknowledged by an earlier
+// process of the node, so its drain period counts as over.
+func (p *drain) recordBackendDrain() {
+	if p.drainingSince == 0 && p.r.self.State() == jackdawbridge.PeerStarting {
+		p.drainingSince = p.r.now - p.drainPeriod
+	}
+	p.recordState(jackdawbridge.PeerDraining)
+}
+
 // refusesRuns reports whether forwarded requests that are not yet running are refused
 // as not run.
 func (p *drain) refusesRuns() bool {
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -70,8 +70,10 @@
 	state := p.r.drain.state()
 	if e.Draining() {
 		state = jackdawbridge.PeerDraining
+		p.r.drain.recordBackendDrain()
+	} else {
+		p.r.drain.recordState(state)
 	}
-	p.r.drain.recordState(state)
 	self := p.r.self.WithBackend(e.Service(), e.Slots(), e.Conns()).WithState(state)
 	if self == p.r.self {
 		return
