reducer, node, client: the last requests of a drain period arrive within it

Cause: the node sent requests until the very end of the drain period. What counts is their arrival: a connect may take up to 1 s when the backend server's accept queue is full, and the goroutine that sends has to get the processor. The class of fault is a time limit that is checked where the decision is made and not where it takes effect.

Change: a draining backend server gets no requests in the last 250 ms of the period, and those that wait are refused then, so that they can go elsewhere. The effect Run carries the time left to send the request; the client checks it once it has a connection, and connects no longer than that. A request that is not sent has not run. A node that stops is not affected, since its backend server stays.

--- a/client/client.go
+++ b/client/client.go
@@ -74,6 +74,35 @@
 // Refused reports whether the backend server refused the connection.
 func (e *Error) Refused() bool { return !e.connected && errors.Is(e.err, syscall.ECONNREFUSED) }
 
+// errSendLimit is the cause of the failure of a request that could not be sent within
+// its limit.
+var errSendLimit = errors.New("time to send the request has passed")
+
+// Sending is how a request may be sent.
+type Sending struct {
+	repeatable bool                 // the request may reach the backend server twice
+	left       func() time.Duration // time left to send the request, nil for no limit
+}
+
+// NewSending returns how a request is sent that may be sent at any time. It is
+// repeatable if it may reach the backend server twice.
+func NewSending(repeatable bool) Sending { return Sending{repeatable: repeatable} }
+
+// WithLimit returns s with a function that returns the time left to send the request. A
+// request that has no time left once it has a connection is not sent.
+func (s Sending) WithLimit(left func() time.Duration) Sending {
+	s.left = left
+	return s
+}
+
+// timeLeft returns the time left to send the request, at most limit.
+func (s Sending) timeLeft(limit time.Duration) time.Duration {
+	if s.left == nil {
+		return limit
+	}
+	return min(s.left(), limit)
+}
+
 // Match is the relation of an answer to the request that was sent.
 type Match uint8
 
@@ -139,8 +168,8 @@
 // or longer, since the backend server may have dropped it. Answers for which match returns Stray are
 // discarded. The end of the context closes the connection. The caller must close
 // the body of the answer.
-func (c *Client) Do(ctx context.Context, request *http.Request, repeatable bool, match func(*http.Response) Match) (*http.Response, *Error) {
-	cn, err := c.getConn(ctx, repeatable)
+func (c *Client) Do(ctx context.Context, request *http.Request, sending Sending, match func(*http.Response) Match) (*http.Response, *Error) {
+	cn, err := c.getConn(ctx, sending)
 	if err != nil {
 		return nil, &Error{err: err}
 	}
@@ -160,12 +189,31 @@
 	return nil, &Error{err: err, connected: true}
 }
 
-// getConn returns an idle connection, or a new one if there is none to reuse.
-func (c *Client) getConn(ctx context.Context, repeatable bool) (*conn, error) {
+// getConn returns an idle connection, or a new one if there is none to reuse. It fails
+// if the time to send the request has passed before or after that.
+func (c *Client) getConn(ctx context.Context, sending Sending) (*conn, error) {
+	left := sending.timeLeft(dialTimeout)
+	if left <= 0 {
+		return nil, errSendLimit
+	}
+	cn, err := c.findConn(ctx, sending.repeatable, left)
+	if err != nil {
+		return nil, err
+	}
+	if sending.timeLeft(dialTimeout) <= 0 {
+		_ = cn.Close()
+		return nil, errSendLimit
+	}
+	return cn, nil
+}
+
+// findConn returns an idle connection, or connects within a timeout if there is none to
+// reuse.
+func (c *Client) findConn(ctx context.Context, repeatable bool, timeout time.Duration) (*conn, error) {
 	for {
 		cn := c.popIdle(repeatable)
 		if cn == nil {
-			return c.dial(ctx)
+			return c.dial(ctx, timeout)
 		}
 		// Data that arrived on an idle connection belongs to no request.
 		if cn.Idle() {
@@ -217,8 +265,8 @@
 	c.droppedUntil = now.Add(shortIdlePeriod)
 }
 
-func (c *Client) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+func (c *Client) dial(ctx context.Context, timeout time.Duration) (*conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: keepAlive}
 	dialed, err := dialer.DialContext(ctx, "tcp", c.address.String())
 	if err != nil {
 		return nil, errors.Errorf("connect: %w", err)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -145,6 +145,17 @@
 	}
 }
 
+// limitChecks returns a limit that passes after the number of checks that the argument
+// limit states.
+func limitChecks(t *testing.T, d *datadriven.TestData) func() time.Duration {
+	checks := 0
+	d.ScanArgs(t, "limit", &checks)
+	return func() time.Duration {
+		checks--
+		return time.Duration(checks+1) * time.Hour
+	}
+}
+
 // sendRequest sends a request and describes its result.
 func sendRequest(t *testing.T, c *Client, d *datadriven.TestData, number int) string {
 	id, path, method, size := fmt.Sprintf("r%d", number), "/ok", http.MethodGet, 0
@@ -170,7 +181,11 @@
 	if d.HasArg("cancel") {
 		time.AfterFunc(50*time.Millisecond, cancel)
 	}
-	response, failure := c.Do(ctx, request, !d.HasArg("not-repeatable"), match(id))
+	sending := NewSending(!d.HasArg("not-repeatable"))
+	if d.HasArg("limit") {
+		sending = sending.WithLimit(limitChecks(t, d))
+	}
+	response, failure := c.Do(ctx, request, sending, match(id))
 	if failure != nil {
 		return fmt.Sprintf("failed connected=%t refused=%t", failure.Connected(), failure.Refused())
 	}
@@ -231,7 +246,7 @@
 	for i := range 4 {
 		id := fmt.Sprint(i)
 		request := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: "h", Path: "/ok"}, Header: http.Header{"Id": {id}}}
-		response, failure := c.Do(t.Context(), request, true, match(id))
+		response, failure := c.Do(t.Context(), request, NewSending(true), match(id))
 		if failure != nil {
 			t.Fatal(failure)
 		}
--- a/effect.go
+++ b/effect.go
@@ -28,9 +28,10 @@
 
 // Run sends a call to the local backend server.
 type Run struct {
-	call   CallID
-	token  Token  // for calls that the backend server makes for the request
-	budget Millis // time left to the deadline
+	call       CallID
+	token      Token  // for calls that the backend server makes for the request
+	budget     Millis // time left to the deadline
+	sendWithin Millis // time left to send the request, 0 for no limit but the deadline
 }
 
 // Call returns the call.
@@ -42,6 +43,10 @@
 // Budget returns the time left to the deadline.
 func (r *Run) Budget() Millis { return r.budget }
 
+// SendWithin returns the time left to send the request to the backend server, 0 if only
+// the deadline limits it. A request that is not sent in time has not run.
+func (r *Run) SendWithin() Millis { return r.sendWithin }
+
 // Deliver forwards the answer of an attempt to the caller, or the answer of a run to
 // the entry node.
 type Deliver struct {
@@ -200,9 +205,9 @@
 }
 
 // Run adds a Run effect.
-func (e *Effects) Run(call CallID, token Token, budget Millis) {
+func (e *Effects) Run(call CallID, token Token, budget, sendWithin Millis) {
 	r := e.runs.New()
-	*r = Run{call: call, token: token, budget: budget}
+	*r = Run{call: call, token: token, budget: budget, sendWithin: sendWithin}
 	e.list = append(e.list, r)
 }
 
--- a/node/announcement_test.go
+++ b/node/announcement_test.go
@@ -42,7 +42,9 @@
 }
 
 // AcknowledgeAnnouncement answers 200.
-func (announcementDialect) AcknowledgeAnnouncement(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) }
+func (announcementDialect) AcknowledgeAnnouncement(w http.ResponseWriter) {
+	w.WriteHeader(http.StatusOK)
+}
 
 // eventRecorder is a reducer that records the events on the backend server.
 type eventRecorder struct {
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -26,6 +26,7 @@
 	envelope jackdawbridge.Envelope
 	token    jackdawbridge.Token
 	budget   jackdawbridge.Millis // time left to run the request
+	sendBy   jackdawbridge.Millis // time after which the request is not sent to the backend server, 0 for none
 	refusal  jackdawbridge.Refusal
 	feedback jackdawbridge.Feedback
 }
--- a/node/node.go
+++ b/node/node.go
@@ -219,7 +219,11 @@
 	case *jackdawbridge.Forward:
 		n.sendDecision(e.Call(), decision{kind: decideForward, attempt: e.Attempt(), target: e.Target(), envelope: e.Envelope()})
 	case *jackdawbridge.Run:
-		n.sendDecision(e.Call(), decision{kind: decideRun, token: e.Token(), budget: e.Budget()})
+		d := decision{kind: decideRun, token: e.Token(), budget: e.Budget()}
+		if e.SendWithin() > 0 {
+			d.sendBy = n.now() + e.SendWithin()
+		}
+		n.sendDecision(e.Call(), d)
 	case *jackdawbridge.Deliver:
 		n.sendDecision(e.Call(), decision{kind: decideDeliver, attempt: e.Attempt(), feedback: e.Feedback()})
 	case *jackdawbridge.Refuse:
--- a/node/run.go
+++ b/node/run.go
@@ -129,7 +129,7 @@
 		return nil, noRefusal, client.NewError(err, false)
 	}
 	envelope := in.ForwardedRequest().Envelope()
-	response, failure := backend.Do(ctx, request, envelope.Idempotent(), func(response *http.Response) client.Match {
+	response, failure := backend.Do(ctx, request, n.sending(d, envelope), func(response *http.Response) client.Match {
 		return n.matchAnswer(response, envelope.ID())
 	})
 	if failure != nil {
@@ -152,6 +152,15 @@
 	return answer, noRefusal, nil
 }
 
+// sending returns how a request may be sent to the backend server.
+func (n *Node) sending(d decision, envelope jackdawbridge.Envelope) client.Sending {
+	sending := client.NewSending(envelope.Idempotent())
+	if d.sendBy == 0 {
+		return sending
+	}
+	return sending.WithLimit(func() time.Duration { return time.Duration(d.sendBy-n.now()) * time.Millisecond })
+}
+
 // matchAnswer reports how an answer relates to the request with the given id.
 // A late answer to an earlier request may arrive while the answer to the next one
 // is expected.
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -131,7 +131,7 @@
 	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
 	p.tokens[u.token] = u
 	p.requests[u.envelope.ID()] = u
-	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now)
+	p.r.fx.Run(u.id, u.token, u.deadline-p.r.now, p.r.drain.sendWithin())
 	text := "request sent to the backend server"
 	if p.r.drain.drainingSince != 0 {
 		text = "request sent to the draining backend server"
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -7,6 +7,10 @@
 	// server accepts new forwarded requests, while the other nodes learn that it
 	// drains.
 	defaultDrainPeriod = 2 * jackdawbridge.Second
+	// drainMargin is how long before the end of its drain period a backend server gets
+	// the last requests. A request needs time to connect and to be read, and
+	// what counts is its arrival.
+	drainMargin = 250 * jackdawbridge.Millis(1)
 	// drainDelay is how long a stopping node continues as an upstream before it
 	// announces that it drains. Its backend server keeps running and cannot be reached
 	// through another node until the next process is ready: without the delay,
@@ -27,6 +31,7 @@
 	stopping      bool
 	stoppingSince jackdawbridge.Millis // when the node began to stop
 	drainingSince jackdawbridge.Millis // when the node or its backend server began to drain, 0 if neither drains
+	runsUntil     jackdawbridge.Millis // end of the time for requests to the backend server; valid while drainingSince is set
 	exited        bool                 // the exit of the process was requested
 }
 
@@ -76,25 +81,38 @@
 		p.drainingSince = 0
 	case p.drainingSince == 0:
 		p.drainingSince = p.r.now
+		p.runsUntil = p.r.now + p.drainPeriod
 	}
 }
 
-// recordBackendDrain updates drainingSince for a backend server that drains. One that
-// drains already when the node learns of it may have been acknowledged by an earlier
-// process of the node, so its drain period counts as over.
+// recordBackendDrain updates the drain period for a backend server that drains. One
+// that drains already when the node learns of it may have been acknowledged by an
+// earlier process of the node, so it gets no more requests.
 func (p *drain) recordBackendDrain() {
+	runsUntil := p.r.now + p.drainPeriod - min(drainMargin, p.drainPeriod/2)
 	if p.drainingSince == 0 && p.r.self.State() == jackdawbridge.PeerStarting {
-		p.drainingSince = p.r.now - p.drainPeriod
+		runsUntil = p.r.now
 	}
 	p.recordState(jackdawbridge.PeerDraining)
+	p.runsUntil = min(p.runsUntil, runsUntil)
 }
 
 // refusesRuns reports whether forwarded requests that are not yet running are refused
 // as not run.
-func (p *drain) refusesRuns() bool {
-	return p.drainingSince != 0 && p.r.now-p.drainingSince >= p.drainPeriod
+func (p *drain) refusesRuns() bool { return p.drainingSince != 0 && p.r.now >= p.runsUntil }
+
+// sendWithin returns the time left to send requests to a draining backend server, 0 if
+// there is no limit.
+func (p *drain) sendWithin() jackdawbridge.Millis {
+	if p.drainingSince == 0 {
+		return 0
+	}
+	return max(p.runsUntil-p.r.now, 1)
 }
 
+// over reports whether the drain period has ended.
+func (p *drain) over() bool { return p.drainingSince != 0 && p.elapsed() >= p.drainPeriod }
+
 // elapsed returns for how long the node or its backend server has been draining, 0 if
 // neither drains.
 func (p *drain) elapsed() jackdawbridge.Millis {
@@ -111,33 +129,41 @@
 // inProgress returns how many calls and runs are in progress.
 func (p *drain) inProgress() int { return len(p.r.calls.active) + len(p.r.runs.active) }
 
-// wake returns the time of the next step of the stop.
+// wake returns the time of the next step of the drain or of the stop.
 func (p *drain) wake() jackdawbridge.Millis {
+	next := never
+	if p.drainingSince != 0 && !p.refusesRuns() {
+		next = p.runsUntil
+	}
 	if !p.stopping || p.exited {
-		return never
+		return next
 	}
 	if p.drainingSince == 0 {
 		return p.stoppingSince + drainDelay
 	}
 	for _, at := range []jackdawbridge.Millis{p.drainingSince + p.drainPeriod, p.stoppingSince + p.stopLimit} {
 		if p.r.now < at {
-			return at
+			next = min(next, at)
 		}
 	}
-	return never
+	return next
 }
 
-// tick announces that the node drains when drainDelay has passed. It requests the
-// exit of the process when the drain period is over, all calls and runs have ended,
+// tick refuses the waiting requests when no more are sent to the backend server, and
+// announces that the node drains when drainDelay has passed. It requests the exit of the
+// process when the drain period is over, all calls and runs have ended,
 // and either the node's ranges have been taken over or the stop limit has passed.
 func (p *drain) tick() {
+	if p.refusesRuns() {
+		p.r.runs.refuseWaiting(jackdawbridge.Draining)
+	}
 	if !p.stopping || p.exited {
 		return
 	}
 	if p.drainingSince == 0 && p.r.now-p.stoppingSince >= drainDelay {
 		p.announceDraining()
 	}
-	if !p.refusesRuns() || p.inProgress() > 0 {
+	if !p.over() || p.inProgress() > 0 {
 		return
 	}
 	if !p.r.authority.released() && p.r.now-p.stoppingSince < p.stopLimit {
