reducer: recorded policy tables do not depend on the processor

Cause: on arm64 the compiler fuses a product and a sum into one operation with one rounding. With the fusion turned off for the package (trial: go test -gcflags=github.com/jackdawbridge/jackdawbridge/reducer=-d=fmahash=n) the test passes without a change; turned off for limiter, picker or queue only, it fails.

Change: explicit conversions round the products in the test code.

Result: TestPolicies/atlas passes.

--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -189,8 +189,10 @@
 // ended or the node has been killed by that time.
 func (b *fakeBackend) work(j *job, then func()) {
 	load := max(float64(b.running)/float64(b.slots), 1)
-	span := float64(j.hops[0].work) / 2 * b.slowdown * math.Pow(load, thrashExponent) * (0.7 + 0.6*b.random.Float64())
-	b.n.h.after(max(jackdawbridge.Millis(span+0.5), 1), func() {
+	// The conversions round each product, so that processors that fuse it with a sum
+	// give the recorded results too.
+	span := float64(j.hops[0].work) / 2 * b.slowdown * math.Pow(load, thrashExponent) * (0.7 + float64(0.6*b.random.Float64()))
+	b.n.h.after(max(jackdawbridge.Millis(float64(span)+0.5), 1), func() {
 		if !j.ended && b.n.alive {
 			then()
 		}
--- a/reducer/policy_test.go
+++ b/reducer/policy_test.go
@@ -106,7 +106,7 @@
 		if f, ok := slow[k.hops[i].service]; ok {
 			factor = f
 		}
-		below += float64(k.hops[i].work) * factor
+		below += float64(float64(k.hops[i].work) * factor)
 		if i < len(k.hops)-1 {
 			below += 2 * float64(linkDelay)
 		}
@@ -188,7 +188,7 @@
 	for _, s := range top.services {
 		need := 0.0
 		for _, k := range top.kinds {
-			need += k.fraction * k.occupancy(s.name, nil)
+			need += float64(k.fraction * k.occupancy(s.name, nil))
 		}
 		if c := top.slots(s.name) * 1000 / need; need > 0 && (top.capacity == 0 || c < top.capacity) {
 			top.capacity = c
@@ -268,7 +268,7 @@
 		for _, k := range top.kinds {
 			for _, s := range top.services {
 				if int(k.criticality) == c {
-					need[s.name] += g.offered(top, k, from, to) * k.occupancy(s.name, slow)
+					need[s.name] += float64(g.offered(top, k, from, to) * k.occupancy(s.name, slow))
 				}
 			}
 		}
@@ -280,9 +280,9 @@
 			for _, h := range k.hops {
 				part = min(part, left[h.service]/max(need[h.service], 1))
 			}
-			total += g.offered(top, k, from, to) * part * k.weight()
+			total += float64(g.offered(top, k, from, to) * part * k.weight())
 			for _, s := range top.services {
-				used[s.name] += g.offered(top, k, from, to) * part * k.occupancy(s.name, slow)
+				used[s.name] += float64(g.offered(top, k, from, to) * part * k.occupancy(s.name, slow))
 			}
 		}
 		for _, s := range top.services {
@@ -323,7 +323,7 @@
 	n := 0
 	for at := from; at < to; at += figureStep {
 		for _, a := range top.accounts {
-			sum += g.demand(top, a, k, at) * g.insideRate(top, a, at)
+			sum += float64(g.demand(top, a, k, at) * g.insideRate(top, a, at))
 		}
 		n++
 	}
