client: limit the head of an answer

What callers see: the node exceeds its memory and is killed, with all calls that it serves.

Cause: http.ReadResponse reads a head of any size. A status line, a field, fields or bytes that are no HTTP were read until the deadline.

Evidence: testdata/endless before the change: 'read to the end' (64 MB) for status, field, fields and noise; want 'cut off'. Interim answers, chunk extensions, trailers and the body of an answer to another request were cut off before, too; the script keeps that.

Change: the reader of a connection fails after 16 KB of a head. Short fields take about seven times their size (975 MB for 143 MB, measured by the users), so the heads of 404 slots, the most that a backend server of the users has, stay below 45 MB.

Ruled out: a limit for the body of an answer that is passed on. It is relayed in parts of bounded size and ends with the deadline of the request at the latest.

--- a/client/client.go
+++ b/client/client.go
@@ -47,6 +47,10 @@
 	// maxInterim is the number of interim answers (status 1xx) after which a request
 	// fails.
 	maxInterim = 8
+	// maxHeadBytes limits the head of an answer in bytes. http.ReadResponse has no limit
+	// and needs several times the size of a head that consists of short fields, for as
+	// many answers at once as the backend server has slots.
+	maxHeadBytes = 16 << 10
 	// maxStrayBody limits the body of a discarded answer in bytes.
 	maxStrayBody = 1 << 20
 )
@@ -131,6 +135,7 @@
 // conn is a connection to the backend server.
 type conn struct {
 	socket.Conn
+	source     *headLimiter  // what reader reads from
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleSince  time.Time     // when the connection became idle
@@ -272,8 +277,9 @@
 		return nil, errors.Errorf("connect: %w", err)
 	}
 	wrapped := socket.Wrap(dialed)
+	source := &headLimiter{source: wrapped}
 	return &conn{
-		Conn: wrapped, reader: bufio.NewReaderSize(wrapped, bufferSize), writer: bufio.NewWriterSize(wrapped, bufferSize),
+		Conn: wrapped, source: source, reader: bufio.NewReaderSize(source, bufferSize), writer: bufio.NewWriterSize(wrapped, bufferSize),
 	}, nil
 }
 
@@ -377,7 +383,9 @@
 // read reads the head of the next answer. It skips interim answers.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxInterim {
+		x.conn.source.begin()
 		response, err := http.ReadResponse(x.conn.reader, x.request)
+		x.conn.source.end()
 		if err != nil {
 			return nil, errors.Errorf("read answer: %w", err)
 		}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -29,6 +29,7 @@
 	listener   net.Listener
 	conns      atomic.Int64 // accepted
 	requests   atomic.Int64 // read
+	flooded    chan bool    // whether an answer without end was sent up to floodSize bytes
 	goroutines sync.WaitGroup
 
 	mu        sync.Mutex
@@ -40,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{listener: listener}
+	s := &server{listener: listener, flooded: make(chan bool, 1)}
 	s.goroutines.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -74,6 +75,32 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// floodSize is where an answer "without end" ends, so that a client that reads all of it
+// fails the test and not the machine.
+const floodSize = 64 << 20
+
+// floods are the answers without end, by path: how they begin, and what is repeated.
+var floods = map[string]struct{ head, repeated string }{
+	"/endless-status":  {"HTTP/1.1 200 ", "OK"},
+	"/endless-field":   {"HTTP/1.1 200 OK\r\nX: ", "x"},
+	"/endless-fields":  {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+	"/endless-interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"/endless-noise":   {"", "noise"},
+	"/endless-chunk":   {"HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	"/endless-trailer": {"HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: x\r\n"},
+	"/endless-stray":   {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"},
+}
+
+// flood sends an answer without end until the client closes the connection.
+func (s *server) flood(conn net.Conn, id, head, repeated string) {
+	_, err := io.WriteString(conn, strings.Replace(head, "%s", id, 1))
+	part := strings.Repeat(repeated, 64<<10/len(repeated))
+	for sent := 0; sent < floodSize && err == nil; sent += len(part) {
+		_, err = io.WriteString(conn, part)
+	}
+	s.flooded <- err == nil
+}
+
 func (s *server) serve(conn *net.TCPConn) {
 	reader := bufio.NewReader(conn)
 	for {
@@ -90,6 +117,10 @@
 		if err != nil {
 			return
 		}
+		if f, ok := floods[r.URL.Path]; ok {
+			s.flood(conn, id, f.head, f.repeated)
+			return
+		}
 		expected := answer(id, fmt.Sprintf("%s %d", id, len(requestBody)))
 		switch r.URL.Path {
 		case "/ok":
@@ -224,6 +255,11 @@
 				c.Close()
 				c = New(s.listener.Addr().(*net.TCPAddr).AddrPort(), 4, idleTime, nonRepeatableIdleTime)
 				return ""
+			case "flood":
+				if <-s.flooded {
+					return "read to the end"
+				}
+				return "cut off"
 			case "stop-server":
 				s.close()
 				return ""
