client: do not wait for the rest of a refusal that does not end

What callers see: a request that the backend server refused without running it ends with its deadline, instead of being sent to another backend server at once, and it keeps its slot until then.

Cause: the body of a refusal is read before the refusal is reported, so that the connection can be used again, and the read had no limit in time.

Evidence: testdata/discard without the limit does not end ('panic: test timed out after 20s').

Change: the rest of a body that is of no use is read for 50 ms at most, then its connection is closed. answerBody has a file of its own.

--- a/client/client.go
+++ b/client/client.go
@@ -51,6 +51,9 @@
 	// and needs several times the size of a head that consists of short fields, for as
 	// many answers at once as the backend server has slots.
 	maxHeadBytes = 16 << 10
+	// discardTimeout limits the time for the rest of a body that is read only to use
+	// its connection again. A server in trouble may never end it.
+	discardTimeout = 50 * time.Millisecond
 	// maxStrayBody limits the body of a discarded answer in bytes.
 	maxStrayBody = 1 << 20
 )
@@ -135,7 +138,7 @@
 // conn is a connection to the backend server.
 type conn struct {
 	socket.Conn
-	source     *headLimiter  // what reader reads from
+	source     *headLimiter // what reader reads from
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleSince  time.Time     // when the connection became idle
@@ -423,36 +426,3 @@
 	x.conn.idleLimit = idleLimit
 	x.client.putIdle(x.conn)
 }
-
-// answerBody is the body of an answer. It releases the connection at its end.
-type answerBody struct {
-	io.ReadCloser
-	x          *exchange
-	closeAfter bool          // the backend server closes the connection after the answer
-	idleLimit  time.Duration // idle time that the backend server allows, 0 if unknown
-	released   bool          // the connection was released
-}
-
-// Read reads from the answer. The end of the answer releases the connection, and
-// an error closes it.
-func (b *answerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil && !b.released {
-		b.released = true
-		if errors.Is(err, io.EOF) {
-			b.x.finish(b.closeAfter, b.idleLimit)
-		} else {
-			b.x.abort()
-		}
-	}
-	return n, err
-}
-
-// Close closes the connection unless the answer was read to its end.
-func (b *answerBody) Close() error {
-	if !b.released {
-		b.released = true
-		b.x.abort()
-	}
-	return nil
-}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -157,6 +157,10 @@
 		case "/unframed":
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nto the end")
 			return
+		case "/stall":
+			_, _ = io.WriteString(conn, expected[:len(expected)-1])
+			_, _ = reader.Peek(1)
+			return
 		case "/silent":
 			_, _ = reader.Peek(1)
 			return
@@ -221,6 +225,10 @@
 		return fmt.Sprintf("failed connected=%t refused=%t", failure.Connected(), failure.Refused())
 	}
 	defer func() { _ = response.Body.Close() }()
+	if d.HasArg("discard") {
+		Discard(response.Body, 1<<10)
+		return "discarded"
+	}
 	if d.HasArg("unread") {
 		return "unread"
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -141,7 +141,7 @@
 		return nil, noRefusal, client.NewError(err, true)
 	}
 	if refused {
-		discardBody(response.Body)
+		client.Discard(response.Body, maxRefusalBytes)
 		return nil, refusal, nil
 	}
 	answer, err := readPrefix(response)
@@ -179,12 +179,6 @@
 // the backend server can be reused only if the body is read to its end.
 const maxRefusalBytes = 4 << 10
 
-// discardBody reads up to maxRefusalBytes of a body and closes it.
-func discardBody(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxRefusalBytes)
-	_ = body.Close()
-}
-
 // backendRequest builds the request to the local backend server.
 func (n *Node) backendRequest(d decision, in jackdawbridge.InboundRequest, announcement jackdawbridge.Announcement) (*http.Request, error) {
 	forwarded := in.ForwardedRequest()
