trace: read log lines that have a key twice

Cause: these lines have an attribute level beside the level of the line. The parser decoded the object into a map, which keeps the last value of a key, and a number is no log level.

Change: the fields are decoded one by one. A level that is no text is an attribute.

--- a/trace/line.go
+++ b/trace/line.go
@@ -44,15 +44,9 @@
 	if start < 0 {
 		return l, errors.New("parse log line: no JSON object found")
 	}
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(data[start:], &fields); err != nil {
+	if err := l.setFields(data[start:]); err != nil {
 		return l, errors.Errorf("parse log line: %w", err)
 	}
-	for key, value := range fields {
-		if err := l.set(key, value); err != nil {
-			return l, err
-		}
-	}
 	if l.at.IsZero() || l.text == "" || l.instance == "" {
 		return l, errors.Errorf("parse log line: field %s, %s or %s is missing", keyTime, keyText, keyInstance)
 	}
@@ -60,6 +54,32 @@
 	return l, nil
 }
 
+// setFields stores the fields of a JSON object in l. A key may occur twice, since an
+// attribute of a line may have the name of one of its other fields.
+func (l *Line) setFields(data []byte) error {
+	if !json.Valid(data) {
+		return errors.New("text after the prefix is no JSON object")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if _, err := decoder.Token(); err != nil {
+		return errors.Errorf("read begin of the object: %w", err)
+	}
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return errors.Errorf("read key: %w", err)
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return errors.Errorf("read value of %v: %w", key, err)
+		}
+		if err := l.set(key.(string), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // set stores one field of the JSON object in l.
 func (l *Line) set(key string, value json.RawMessage) error {
 	var err error
@@ -68,7 +88,10 @@
 	case keyTime:
 		err = json.Unmarshal(value, &l.at)
 	case keyLevel:
-		err = json.Unmarshal(value, &level)
+		if json.Unmarshal(value, &level) != nil {
+			l.attrs = append(l.attrs, Attr{key: key, value: string(value)}) // an admission level, which is a number
+			break
+		}
 		l.warn = level == "WARN" || level == "ERROR"
 	case keyText:
 		err = json.Unmarshal(value, &l.text)
