--- a/client/client_test.go
+++ b/client/client_test.go
@@ -30,6 +30,7 @@
 	conns      atomic.Int64 // accepted
 	requests   atomic.Int64 // read
 	flooded    chan bool    // whether an answer without end was sent up to floodSize bytes
+	earlyRead  chan bool    // receives a value when the client has read an early answer
 	goroutines sync.WaitGroup
 
 	mu        sync.Mutex
@@ -41,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{listener: listener, flooded: make(chan bool, 1)}
+	s := &server{listener: listener, flooded: make(chan bool, 1), earlyRead: make(chan bool, 1)}
 	s.goroutines.Go(func() {
 		for {
 			conn, err := listener.Accept()
@@ -112,6 +113,7 @@
 		id := r.Header.Get("Id")
 		if r.URL.Path == "/early" {
 			_, _ = io.WriteString(conn, answer(id, "early"))
+			<-s.earlyRead // reads the rest of the request only then, so that the upload is still under way
 		}
 		requestBody, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -192,7 +194,7 @@
 }
 
 // sendRequest sends a request and describes its result.
-func sendRequest(t *testing.T, c *Client, d *datadriven.TestData, number int) string {
+func sendRequest(t *testing.T, s *server, c *Client, d *datadriven.TestData, number int) string {
 	id, path, method, size := fmt.Sprintf("r%d", number), "/ok", http.MethodGet, 0
 	for _, a := range d.CmdArgs {
 		switch a.Key {
@@ -211,6 +213,9 @@
 			request.ContentLength = -1
 		}
 	}
+	if path == "/early" {
+		defer func() { s.earlyRead <- true }()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if d.HasArg("cancel") {
@@ -254,7 +259,7 @@
 			switch d.Cmd {
 			case "do":
 				number++
-				result := sendRequest(t, c, d, number)
+				result := sendRequest(t, s, c, d, number)
 				return fmt.Sprintf("%s (new connections %d, requests read %d)", result, s.conns.Load()-conns, s.requests.Load()-requests)
 			case "pause": // longer than nonRepeatableIdleTime
 				time.Sleep(2 * nonRepeatableIdleTime)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -320,7 +320,11 @@
 				return ""
 			case "release":
 				for n := int(f.active.Load()); n > 0; n-- {
-					f.gate <- struct{}{}
+					select {
+					case f.gate <- struct{}{}:
+					case <-time.After(30 * time.Second):
+						d.Fatalf(t, "%d requests in progress ended before they were released", n)
+					}
 				}
 			case "cancel":
 				for _, cancel := range cancels {
