client: the script on the time limit waits until connections are counted

The client gives up right after it has connected, before the server has accepted and counted the connection.

Change: after a request with a limit the test waits until the server has accepted a connection of its own; the kernel hands them over in order.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -72,6 +73,28 @@
 	s.goroutines.Wait()
 }
 
+// settle waits until the server has accepted all connections that were opened before.
+func (s *server) settle(t *testing.T) {
+	probe, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = probe.Close() }()
+	for deadline := time.Now().Add(30 * time.Second); !s.accepted(probe.LocalAddr()); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("a connection was not accepted in 30 s")
+		}
+	}
+	s.conns.Add(-1)
+}
+
+// accepted reports whether the server has accepted the connection of a client.
+func (s *server) accepted(client net.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.openConns, func(c net.Conn) bool { return c.RemoteAddr().String() == client.String() })
+}
+
 func answer(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -260,6 +283,9 @@
 			case "do":
 				number++
 				result := sendRequest(t, s, c, d, number)
+				if d.HasArg("limit") {
+					s.settle(t)
+				}
 				return fmt.Sprintf("%s (new connections %d, requests read %d)", result, s.conns.Load()-conns, s.requests.Load()-requests)
 			case "pause": // longer than nonRepeatableIdleTime
 				time.Sleep(2 * nonRepeatableIdleTime)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -322,7 +322,7 @@
 				for n := int(f.active.Load()); n > 0; n-- {
 					select {
 					case f.gate <- struct{}{}:
-					case <-time.After(30 * time.Second):
+					case <-time.After(waitLimit):
 						d.Fatalf(t, "%d requests in progress ended before they were released", n)
 					}
 				}
