reducer: a request for tokens ends in all of its timers at once

Callers saw broken connections: on waking from a suspension of 2 to 3 s, below FreezeGap, a node that awaited tokens panicked in (*shares).expire with a nil pointer and ended. The time-out and the expiry of the request were due in the same tick; the time-out was set again, the expiry deleted the request, and the next time-out read the zero value.

The expiry comes first now and drops the request from all indexes, in one function that the answer uses too. If the account waited for the request, the next issuer gets one.

testdata/suspension failed before with the panic.

The matrix missed it because its freezes last 4 s and 8 s, after which tokens are reset; TestRandomFaults freezes for 1 ms to 30 s but makes no calls.

--- a/heap/heap.go
+++ b/heap/heap.go
@@ -19,6 +19,12 @@
 // Len returns how many keys h holds.
 func (h *Heap[K, P]) Len() int { return len(h.items) }
 
+// Contains reports whether h holds a key.
+func (h *Heap[K, P]) Contains(key K) bool {
+	_, ok := h.index[key]
+	return ok
+}
+
 // Set adds a key, or changes its priority if the heap has it.
 func (h *Heap[K, P]) Set(key K, priority P) {
 	if h.index == nil {
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -474,8 +474,8 @@
 	h.lastFaultChange = h.now
 	n.alive = false
 	for _, id := range slices.Sorted(maps.Keys(n.runs)) {
-		u := n.runs[id]
-		if u.ended {
+		u, ok := n.runs[id]
+		if !ok || u.ended { // the end of an earlier run may end others
 			continue
 		}
 		u.ended = true
@@ -491,8 +491,8 @@
 func (n *fakeNode) crash() {
 	n.crashes++
 	for _, id := range slices.Sorted(maps.Keys(n.runs)) {
-		u := n.runs[id]
-		if u.ended {
+		u, ok := n.runs[id]
+		if !ok || u.ended { // the end of an earlier run may end others
 			continue
 		}
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
--- a/reducer/share.go
+++ b/reducer/share.go
@@ -241,13 +241,18 @@
 	if !ok || req.issuer.Node() != from.Node() || req.accountTokens.account != account || req.shard != shard {
 		return pendingRequest{}, false
 	}
+	p.dropRequest(id, req)
+	return req, p.r.now < req.at+grantLifetime
+}
+
+// dropRequest removes a request from every index that names it.
+func (p *shares) dropRequest(id jackdawbridge.GrantID, req pendingRequest) {
 	delete(p.requests, id)
 	p.requestExpiry.Remove(id)
 	p.requestTimeouts.Remove(id)
 	if req.accountTokens.pendingID == id {
 		req.accountTokens.pendingID = 0
 	}
-	return req, p.r.now < req.at+grantLifetime
 }
 
 // grantReceived adds granted tokens to those of the account and serves its waiting
@@ -448,8 +453,9 @@
 	p.waitEnds.Remove(call)
 }
 
-// expire returns the grants held for unspentGrantTime, sends unanswered requests
-// again or tries the next issuer, and drops requests whose grant would have expired.
+// expire returns the grants held for unspentGrantTime, drops requests whose grant would
+// have expired, and sends unanswered requests again or tries the next issuer. Both
+// timers of a request may be due in the same tick, so the drop comes first.
 func (p *shares) expire() {
 	for {
 		id, ok := p.grantReturns.PopUntil(p.r.now)
@@ -461,11 +467,23 @@
 		p.returnGrant(t, i)
 	}
 	for {
-		id, ok := p.requestTimeouts.PopUntil(p.r.now)
+		id, ok := p.requestExpiry.PopUntil(p.r.now)
 		if !ok {
 			break
 		}
 		req := p.requests[id]
+		pending := req.accountTokens.pendingID == id
+		p.dropRequest(id, req)
+		if pending {
+			p.tryNextIssuer(req, unreachablePause)
+		}
+	}
+	for {
+		id, ok := p.requestTimeouts.PopUntil(p.r.now)
+		if !ok {
+			return
+		}
+		req := p.requests[id]
 		switch {
 		case req.accountTokens.pendingID != id:
 		case req.sends < maxRequestSends && len(req.accountTokens.waiting) > 0:
@@ -478,11 +496,4 @@
 			p.tryNextIssuer(req, unreachablePause)
 		}
 	}
-	for {
-		id, ok := p.requestExpiry.PopUntil(p.r.now)
-		if !ok {
-			return
-		}
-		delete(p.requests, id)
-	}
 }
