reducer, node: a departure outlasts a restart of the node

A node stores a departure at the platform, under a lease, before it acknowledges it. A new process reads the record before it believes that its backend server serves; an announcement that is not newer than the recorded one counts as that of a draining server. The reducer decides when an announcement is acknowledged, by a new effect. Ruled out: the peers' word (the script's peer has not received it), a probe of the backend server (waits for a slot, may lie), believing only the second announcement (a heartbeat without the server after each restart).

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -84,6 +84,7 @@
 	RetryPermille  int           `default:"200" help:"Retry budget: retries to another backend server for each thousand calls of a service."`
 	RetryBurst     int           `default:"10" help:"Maximum number of unused retries of a service that a node accumulates."`
 	Floors         bool          `help:"Allow nodes to use a part of an account's rate while no home node of their data centre answers."`
+	FirstStart     bool          `help:"The whole fleet starts for the first time, so that no departure of a backend server can be on record."`
 	Linger         time.Duration `default:"2s" help:"Minimum time between the request to stop and the closing of the listeners."`
 	LogFormat      string        `default:"json" enum:"json,text" help:"Format of log lines on standard output: json, which the explain command reads, or text."`
 	LogLevel       string        `default:"info" enum:"debug,info,warn,error" help:"Minimum level of log lines: debug, info, warn or error."`
@@ -146,6 +147,9 @@
 	if c.Floors {
 		options = options.WithFloors()
 	}
+	if c.FirstStart {
+		options = options.WithFirstStart()
+	}
 	nodeReducer, err := reducer.New(parts.clock.Now(), options.WithJoins(joins))
 	if err != nil {
 		return errors.Errorf("start node: %w", err)
--- a/dialect.go
+++ b/dialect.go
@@ -216,6 +216,11 @@
 // Sequence returns the number of the announcement, 0 if unknown.
 func (a Announcement) Sequence() uint64 { return a.sequence }
 
+// Process returns which announcement of which process a is.
+func (a Announcement) Process() BackendProcess {
+	return NewBackendProcess(a.backend, a.generation, a.sequence)
+}
+
 // NewerThan reports whether a is newer than the last accepted announcement. An
 // announcement of an earlier start, or an earlier announcement of the same start, has
 // arrived late. One without a sequence number counts as newer within its start.
--- a/effect.go
+++ b/effect.go
@@ -145,6 +145,13 @@
 // Lease returns the time after which the platform removes the record, 0 for never.
 func (s *Swap) Lease() Millis { return s.lease }
 
+// Acknowledge answers an announcement of the local backend server: it is in force, and
+// a departure outlasts this process.
+type Acknowledge struct{ receipt uint64 }
+
+// Receipt returns the number that the announcement carried.
+func (a *Acknowledge) Receipt() uint64 { return a.receipt }
+
 // Exit ends the process. All calls and runs have ended, and the ranges of the node
 // have been taken over or the time limit for its shutdown has passed.
 type Exit struct{}
@@ -161,6 +168,8 @@
 func (*Log) effect()     {}
 func (*Exit) effect()    {}
 
+func (*Acknowledge) effect() {}
+
 // Effects collects effects in order until Reset. The zero value is ready to use.
 // Reset keeps the memory, so that adding effects allocates only until the memory has grown
 // to the largest number of effects between two calls of Reset.
@@ -276,5 +285,12 @@
 	return l
 }
 
+// Acknowledge adds an Acknowledge effect. It does nothing for receipt 0.
+func (e *Effects) Acknowledge(receipt uint64) {
+	if receipt != 0 {
+		e.list = append(e.list, &Acknowledge{receipt: receipt})
+	}
+}
+
 // Exit adds an Exit effect.
 func (e *Effects) Exit() { e.list = append(e.list, &Exit{}) }
--- a/event.go
+++ b/event.go
@@ -209,12 +209,27 @@
 	slots    int // at least 1
 	conns    int // at least 1
 	draining bool
+	process  BackendProcess
+	receipt  uint64 // answered by an Acknowledge effect, 0 if nothing waits for one
 }
 
 // NewBackendAnnounced returns the event for an announcement of the local backend
 // server.
 func NewBackendAnnounced(at Millis, service ServiceName, slots, conns int, draining bool) *BackendAnnounced {
-	return &BackendAnnounced{eventTime{at}, service, slots, conns, draining}
+	return &BackendAnnounced{eventTime: eventTime{at}, service: service, slots: slots, conns: conns, draining: draining}
+}
+
+// WithProcess returns e as an announcement of the given process.
+func (e *BackendAnnounced) WithProcess(process BackendProcess) *BackendAnnounced {
+	e.process = process
+	return e
+}
+
+// WithReceipt returns e as an announcement that an Acknowledge effect with the given
+// number answers.
+func (e *BackendAnnounced) WithReceipt(receipt uint64) *BackendAnnounced {
+	e.receipt = receipt
+	return e
 }
 
 // Service returns the service of the backend server.
@@ -229,6 +244,12 @@
 // Draining reports whether the backend server accepts no new requests.
 func (e *BackendAnnounced) Draining() bool { return e.draining }
 
+// Process returns which announcement of which process e is.
+func (e *BackendAnnounced) Process() BackendProcess { return e.process }
+
+// Receipt returns the number of the Acknowledge effect that answers e, 0 for none.
+func (e *BackendAnnounced) Receipt() uint64 { return e.receipt }
+
 // BackendLost reports that the local backend server was lost: it refuses connections,
 // its heartbeats stopped, or a new process announced itself.
 type BackendLost struct{ eventTime }
--- a/node/announcement_test.go
+++ b/node/announcement_test.go
@@ -53,7 +53,7 @@
 }
 
 // Apply records the event. It is called under the node's mutex.
-func (r *eventRecorder) Apply(event jackdawbridge.Event, _ *jackdawbridge.Effects) {
+func (r *eventRecorder) Apply(event jackdawbridge.Event, effects *jackdawbridge.Effects) {
 	switch e := event.(type) {
 	case *jackdawbridge.BackendLost:
 		r.events = append(r.events, "lost")
@@ -63,6 +63,7 @@
 			text = "draining"
 		}
 		r.events = append(r.events, text)
+		effects.Acknowledge(e.Receipt())
 	}
 }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -47,9 +47,13 @@
 	alive          bool                       // the backend server has not been lost since the last announcement
 	client         *client.Client             // nil before the first announcement
 	heartbeatTimer *time.Timer                // restarted by each accepted announcement except a departure; nil before the first
+
+	receiptMu   sync.Mutex               // locked last
+	lastReceipt uint64                   // number of the last announcement
+	receipts    map[uint64]chan struct{} // by number; closed when the reducer acknowledges the announcement
 }
 
-func newBackend(n *Node) *backend { return &backend{n: n} }
+func newBackend(n *Node) *backend { return &backend{n: n, receipts: make(map[uint64]chan struct{})} }
 
 // serveAnnouncement serves an announcement or a heartbeat of the backend server.
 // An outdated announcement is acknowledged too, but has no effect. One that the
@@ -62,16 +66,56 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !b.handleAnnouncement(a) {
+	receipt, done := b.openReceipt()
+	defer b.closeReceipt(receipt)
+	waits, ok := b.handleAnnouncement(a, receipt)
+	if !ok {
 		http.Error(w, "node is not running", http.StatusServiceUnavailable)
 		return
 	}
+	if waits {
+		select {
+		case <-done:
+		case <-b.n.ctx.Done():
+			http.Error(w, "node is not running", http.StatusServiceUnavailable)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
 	b.n.deps.dialect.AcknowledgeAnnouncement(w)
 }
 
-// handleAnnouncement records an announcement and reports it to the reducer. It
-// ignores an outdated announcement. The result is false if the reducer takes no events.
-func (b *backend) handleAnnouncement(a jackdawbridge.Announcement) bool {
+// openReceipt registers an announcement that the reducer is to acknowledge.
+func (b *backend) openReceipt() (uint64, <-chan struct{}) {
+	b.receiptMu.Lock()
+	defer b.receiptMu.Unlock()
+	b.lastReceipt++
+	done := make(chan struct{})
+	b.receipts[b.lastReceipt] = done
+	return b.lastReceipt, done
+}
+
+func (b *backend) closeReceipt(receipt uint64) {
+	b.receiptMu.Lock()
+	defer b.receiptMu.Unlock()
+	delete(b.receipts, receipt)
+}
+
+// acknowledged ends the wait of an announcement that the reducer has acknowledged.
+func (b *backend) acknowledged(receipt uint64) {
+	b.receiptMu.Lock()
+	defer b.receiptMu.Unlock()
+	if done, ok := b.receipts[receipt]; ok {
+		close(done)
+		delete(b.receipts, receipt)
+	}
+}
+
+// handleAnnouncement records an announcement and reports it to the reducer, which
+// acknowledges the receipt; waits is false if it need not, because the announcement is
+// outdated and ignored. The result ok is false if the reducer takes no events.
+func (b *backend) handleAnnouncement(a jackdawbridge.Announcement, receipt uint64) (waits, ok bool) {
 	b.order.Lock()
 	defer b.order.Unlock()
 	before := b.latestAnnouncement()
@@ -79,7 +123,7 @@
 	if !accepted {
 		b.n.metrics.count("announcements_late")
 		b.log("node: outdated announcement of the backend server ignored", a, before)
-		return true
+		return false, true
 	}
 	if a.Backend() != before.Backend() || a.Generation() != before.Generation() || a.State() != before.State() {
 		b.log("node: state of the backend server changed", a, before)
@@ -90,7 +134,8 @@
 	}
 	last := b.latestAnnouncement()
 	draining := a.State() != jackdawbridge.BackendServing
-	return b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining))
+	return true, b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining).
+		WithProcess(last.Process()).WithReceipt(receipt))
 }
 
 // log writes a line on an announcement and on the one that was in force before it.
--- a/node/node.go
+++ b/node/node.go
@@ -242,6 +242,8 @@
 		go n.swapRecord(e.Name(), e.Version(), e.Value(), e.Lease())
 	case *jackdawbridge.Log:
 		n.log.writeEffect(e)
+	case *jackdawbridge.Acknowledge:
+		n.backend.acknowledged(e.Receipt())
 	case *jackdawbridge.Exit:
 		close(n.drained)
 	}
--- a/record.go
+++ b/record.go
@@ -18,12 +18,18 @@
 	RangesPrefix RecordName = "ranges/"
 	// SeedsPrefix is followed by the name of a data centre, a slash and a number.
 	SeedsPrefix RecordName = "seeds/"
+	// DeparturesPrefix is followed by the name of an instance.
+	DeparturesPrefix RecordName = "departures/"
 )
 
+// DepartureRecord returns the name of the departure record of an instance.
+func DepartureRecord(instance Instance) RecordName { return DeparturesPrefix + RecordName(instance) }
+
 // RangesRecord returns the name of the range record of a data centre.
 func RangesRecord(dc DataCentre) RecordName { return RangesPrefix + RecordName(dc) }
 
-// Value is the content of a record: a *Table, a *Ranges or a *Seed.
+// Value is the content of a record: a *Table, a *Ranges, a *Seed or a
+// *Departure.
 type Value interface{ value() }
 
 // Record is a value as read from the platform's store.
@@ -281,3 +287,16 @@
 
 // Peer returns the member that s names.
 func (s *Seed) Peer() Peer { return s.peer }
+
+// Departure is the record of the last departure that the backend server of an instance
+// announced. A new process of the node reads it, so that it does not believe a late
+// announcement from before the departure.
+type Departure struct{ process BackendProcess }
+
+// NewDepartureValue returns the record of a departure that the given process announced.
+func NewDepartureValue(process BackendProcess) *Departure { return &Departure{process: process} }
+
+func (*Departure) value() {}
+
+// Process returns the process and the announcement by which it departed.
+func (d *Departure) Process() BackendProcess { return d.process }
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -104,6 +104,7 @@
 	transferTime  jackdawbridge.Millis // from a run's answer until its transfer to the entry node has finished
 	exited        bool
 	crashes       int // of the backend server
+	acknowledged  int // announcements of the backend server
 	storeRequests int // requests to the platform
 	messagesSent  int
 	votesSent     int                  // of messagesSent, those that request or cast a vote for a lease
@@ -195,6 +196,7 @@
 // is still alive. Each process has a higher incarnation than the one before.
 func (h *harness) start(name string, dc jackdawbridge.DataCentre, joins ...string) *fakeNode {
 	index := slices.Index(h.nodeNames, name)
+	first := index < 0
 	if index >= 0 && h.nodes[name].alive {
 		h.kill(name)
 	}
@@ -212,6 +214,9 @@
 	}
 	p, l, q := h.strategies()
 	options := NewOptions(peer, sha256.Sum256([]byte(node.String())), p, l, q)
+	if first {
+		options = options.WithFirstStart()
+	}
 	r, err := New(h.now+clockSkew, h.applyOptions(options).WithJoins(peers))
 	if err != nil {
 		panic(err)
@@ -329,6 +334,8 @@
 			return
 		}
 		n.h.trace = append(n.h.trace, n.formatLog(e))
+	case *jackdawbridge.Acknowledge:
+		n.acknowledged++
 	case *jackdawbridge.Exit:
 		n.exited = true
 		n.alive = false
@@ -528,11 +535,17 @@
 	h.lastFaultChange = h.now
 }
 
-// announce reports to a node an announcement of its backend server, which accepts
-// eight connections per slot.
+// announce reports to a node an announcement of its backend server, newer than the ones
+// before.
 func (h *harness) announce(name string, service jackdawbridge.ServiceName, slots int, draining bool) {
+	h.announceAs(name, service, slots, draining, jackdawbridge.NewBackendProcess("", 0, uint64(h.now)))
+}
+
+// announceAs reports an announcement of a process of the backend server, which accepts
+// eight connections per slot.
+func (h *harness) announceAs(name string, service jackdawbridge.ServiceName, slots int, draining bool, process jackdawbridge.BackendProcess) {
 	h.nodes[name].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-		return jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, draining)
+		return jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, draining).WithProcess(process).WithReceipt(1)
 	})
 }
 
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -39,6 +39,7 @@
 	idleConfirmInterval jackdawbridge.Millis // time between two reads of the tables by a watcher while no account requires confirmed tables
 	retryBudget         retryBudgets         // permille and burst only, without balances
 	stopLimit           jackdawbridge.Millis // how long a stopping node accepts new calls
+	firstStart          bool                 // no process of the fleet ran before
 }
 
 // NewOptions returns the options of a node with the given strategies.
@@ -87,6 +88,13 @@
 	return o
 }
 
+// WithFirstStart returns o for a node of a fleet that starts for the first time, so that
+// no earlier process can have recorded anything.
+func (o Options) WithFirstStart() Options {
+	o.firstStart = true
+	return o
+}
+
 // WithStopLimit returns o with the time for which a stopping node accepts new calls
 // and waits for other nodes to take over its ranges.
 func (o Options) WithStopLimit(span jackdawbridge.Millis) Options {
@@ -111,6 +119,7 @@
 	authority  authority
 	quarantine quarantine
 	drain      drain
+	departures departures
 }
 
 var _ jackdawbridge.Reducer = (*Reducer)(nil)
@@ -138,6 +147,7 @@
 	r.authority = newAuthority(r)
 	r.quarantine = newQuarantine(r)
 	r.drain = newDrain(r, options.drain, options.stopLimit)
+	r.departures = newDepartures(r, options.firstStart)
 	return r, nil
 }
 
@@ -165,7 +175,7 @@
 	case *jackdawbridge.RunFinished:
 		r.runs.finished(e)
 	case *jackdawbridge.BackendAnnounced:
-		r.runs.announced(e)
+		r.departures.announced(e)
 	case *jackdawbridge.BackendLost:
 		r.runs.backendLost()
 	case *jackdawbridge.Received:
@@ -197,6 +207,7 @@
 		r.authority.wake(),
 		r.quarantine.wake(),
 		r.drain.wake(),
+		r.departures.wake(),
 	)
 }
 
@@ -229,6 +240,7 @@
 	r.authority.tick()
 	r.quarantine.tick()
 	r.drain.tick()
+	r.departures.tick()
 }
 
 // receive records the sender's digest in the parts that use it and dispatches the
@@ -302,6 +314,8 @@
 		r.settings.loaded(e)
 	case isSeed(e.Name()):
 		r.members.seedLoaded(e)
+	case isDeparture(e.Name()):
+		r.departures.recordLoaded(e)
 	default:
 		r.authority.loaded(e)
 	}
@@ -310,11 +324,14 @@
 // swapped dispatches the result of a compare-and-swap to the part that requested
 // it.
 func (r *Reducer) swapped(e *jackdawbridge.StoreSwapped) {
-	if isSeed(e.Name()) {
+	switch {
+	case isSeed(e.Name()):
 		r.members.seedSwapped(e)
-		return
+	case isDeparture(e.Name()):
+		r.departures.recordSwapped(e)
+	default:
+		r.authority.swapped(e)
 	}
-	r.authority.swapped(e)
 }
 
 // send sends a message to a peer, with this node's digest.
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -66,9 +66,9 @@
 
 // announced updates the state of the local backend server and announces it to the
 // peers.
-func (p *runs) announced(e *jackdawbridge.BackendAnnounced) {
+func (p *runs) announced(e *jackdawbridge.BackendAnnounced, draining bool) {
 	state := p.r.drain.state()
-	if e.Draining() {
+	if draining {
 		state = jackdawbridge.PeerDraining
 		p.r.drain.recordBackendDrain()
 	} else {
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -54,7 +54,10 @@
 		}
 		h.start(arg(d, "node", ""), jackdawbridge.DataCentre(arg(d, "dc", "one")), joins...)
 	case "announce":
-		h.announce(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), intArg(d, "slots", 4), arg(d, "state", "") == "draining")
+		h.announceAs(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), intArg(d, "slots", 4),
+			arg(d, "state", "") == "draining", jackdawbridge.NewBackendProcess("", uint64(intArg(d, "born", 0)), uint64(intArg(d, "sequence", 0))))
+	case "acknowledged":
+		return strconv.Itoa(h.nodes[arg(d, "node", "")].acknowledged), nil
 	case "crash":
 		h.nodes[arg(d, "node", "")].crash()
 	case "by-address":
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -207,6 +207,8 @@
 		return d.ranges(v.Ranges)
 	case *pb.Value_Seed:
 		return jackdawbridge.NewSeed(d.peer(v.Seed))
+	case *pb.Value_Departure:
+		return jackdawbridge.NewDepartureValue(jackdawbridge.NewBackendProcess(v.Departure.GetBackend(), v.Departure.GetGeneration(), v.Departure.GetSequence()))
 	}
 	d.fail(errors.New("value is empty"))
 	return nil
