client: a request that was refused is not sent again on the same connection

A backend server that writes a refusal once more, on a connection that is in use again, made callers read 'not run' for a request that runs, or run it twice: both sends of a request carry the same id, so the copy passed for the answer to the second send.

A connection keeps the ids of the requests that were refused on it, and is not used for a later send of them. After 64 refusals it is closed.

--- a/client/answer_body.go
+++ b/client/answer_body.go
@@ -47,13 +47,14 @@
 	return nil
 }
 
-// Discard reads the rest of an answer's body, so that its connection can be used again,
-// and closes the body. It closes the connection too if the rest is longer than limit
-// bytes or does not arrive soon.
-func Discard(body io.ReadCloser, limit int64) {
+// DiscardRefusal reads the rest of the body of an answer that refuses the request, so that
+// its connection can be used again, and closes the body. It closes the connection too if
+// the rest is longer than limit bytes or does not arrive soon.
+func DiscardRefusal(body io.ReadCloser, limit int64) {
 	if b, ok := body.(*answerBody); ok && !b.released {
 		_ = b.x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 		b.deadlineSet = true
+		b.x.recordRefused()
 	}
 	_, _ = io.CopyN(io.Discard, body, limit)
 	_ = body.Close()
--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,6 +55,8 @@
 	// discardTimeout limits the time for the rest of a body that is read only to use
 	// its connection again. A server in trouble may never end it.
 	discardTimeout = 50 * time.Millisecond
+	// maxRefused is the number of refused requests after which a connection is closed.
+	maxRefused = 64
 	// maxStrayBody limits the body of a discarded answer in bytes.
 	maxStrayBody = 1 << 20
 )
@@ -87,6 +90,7 @@
 
 // Sending is how a request may be sent.
 type Sending struct {
+	id         string               // of the request, the same for each time that it is sent; empty if unknown
 	repeatable bool                 // the request may reach the backend server twice
 	left       func() time.Duration // time left to send the request, nil for no limit
 }
@@ -95,6 +99,14 @@
 // repeatable if it may reach the backend server twice.
 func NewSending(repeatable bool) Sending { return Sending{repeatable: repeatable} }
 
+// WithID returns s for the request with the given id. It is not sent on a connection on
+// which it was refused before: the backend server may send the refusal once more, and
+// nothing tells that copy from the answer to the later send.
+func (s Sending) WithID(id string) Sending {
+	s.id = id
+	return s
+}
+
 // WithLimit returns s with a function that returns the time left to send the request. A
 // request that has no time left once it has a connection is not sent.
 func (s Sending) WithLimit(left func() time.Duration) Sending {
@@ -144,6 +156,7 @@
 	idleSince  time.Time     // when the connection became idle
 	idleBefore time.Duration // idle time before the request in progress, 0 on a new connection
 	idleLimit  time.Duration // idle time that the backend server allows, 0 if unknown
+	refused    []string      // ids of the requests that were refused on the connection, at most maxRefused
 }
 
 // New returns a client that keeps at most maxIdle idle connections, each for up to
@@ -181,7 +194,7 @@
 	if err != nil {
 		return nil, &Error{err: err}
 	}
-	x := &exchange{client: c, conn: cn, request: request}
+	x := &exchange{client: c, conn: cn, request: request, id: sending.id}
 	x.detachContext = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := x.run(match)
 	if err == nil {
@@ -204,7 +217,7 @@
 	if left <= 0 {
 		return nil, errSendLimit
 	}
-	cn, err := c.findConn(ctx, sending.repeatable, left)
+	cn, err := c.findConn(ctx, sending, left)
 	if err != nil {
 		return nil, err
 	}
@@ -217,9 +230,9 @@
 
 // findConn returns an idle connection, or connects within a timeout if there is none to
 // reuse.
-func (c *Client) findConn(ctx context.Context, repeatable bool, timeout time.Duration) (*conn, error) {
+func (c *Client) findConn(ctx context.Context, sending Sending, timeout time.Duration) (*conn, error) {
 	for {
-		cn := c.popIdle(repeatable)
+		cn := c.popIdle(sending)
 		if cn == nil {
 			return c.dial(ctx, timeout)
 		}
@@ -231,20 +244,25 @@
 	}
 }
 
-// popIdle removes the most recently used idle connection from the list and returns
-// it. It returns nil if there is none or if that connection was idle for too long.
-func (c *Client) popIdle(repeatable bool) *conn {
+// popIdle removes the most recently used idle connection on which the request was not
+// refused from the list and returns it. It returns nil if there is none or if that
+// connection was idle for too long.
+func (c *Client) popIdle(sending Sending) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idleConns) == 0 {
+	i := len(c.idleConns) - 1
+	for i >= 0 && sending.id != "" && slices.Contains(c.idleConns[i].refused, sending.id) {
+		i--
+	}
+	if i < 0 {
 		return nil
 	}
-	cn := c.idleConns[len(c.idleConns)-1]
+	cn := c.idleConns[i]
 	idleBefore := time.Since(cn.idleSince)
-	if idleBefore >= c.idleLimit(cn) || !repeatable && idleBefore >= c.nonRepeatableIdle {
+	if idleBefore >= c.idleLimit(cn) || !sending.repeatable && idleBefore >= c.nonRepeatableIdle {
 		return nil
 	}
-	c.idleConns = c.idleConns[:len(c.idleConns)-1]
+	c.idleConns = slices.Delete(c.idleConns, i, i+1)
 	cn.idleBefore = idleBefore
 	return cn
 }
@@ -337,10 +355,11 @@
 	client        *Client
 	conn          *conn
 	request       *http.Request
+	id            string      // of the request, empty if unknown
 	detachContext func() bool // detaches the connection from the context, whose end closes it; reports false if the context has ended
 	writeResult   chan error  // receives the result of a concurrent write; nil if the request is written before the answer is read
 	answerStarted bool        // the head of an answer has arrived
-	notReusable   bool        // an answer to another request arrived, so the connection must not be used again
+	notReusable   bool        // the connection must not be used again, for example because an answer to another request arrived
 }
 
 // run sends the request and reads the head of its answer. It discards answers to
@@ -400,6 +419,15 @@
 	return nil, errors.Errorf("read answer: got %d interim answers and no final one", maxInterim)
 }
 
+// recordRefused records that the request was refused, so that its connection is not used
+// when it is sent again.
+func (x *exchange) recordRefused() {
+	if x.id != "" {
+		x.conn.refused = append(x.conn.refused, x.id)
+		x.notReusable = x.notReusable || len(x.conn.refused) >= maxRefused
+	}
+}
+
 // abort closes the connection in the middle of the exchange.
 func (x *exchange) abort() {
 	x.detachContext()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -127,6 +127,7 @@
 
 func (s *server) serve(conn *net.TCPConn) {
 	reader := bufio.NewReader(conn)
+	again := "" // an earlier answer that is sent once more before the next one
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -134,6 +135,7 @@
 		}
 		s.requests.Add(1)
 		id := r.Header.Get("Id")
+		_, _ = io.WriteString(conn, again)
 		if r.URL.Path == "/early" {
 			_, _ = io.WriteString(conn, answer(id, "early"))
 			<-s.earlyRead // reads the rest of the request only then, so that the upload is still under way
@@ -148,6 +150,9 @@
 		}
 		expected := answer(id, fmt.Sprintf("%s %d", id, len(requestBody)))
 		switch r.URL.Path {
+		case "/refuse-twice":
+			again = strings.Replace(expected, "200 OK", "503 Full", 1)
+			_, _ = io.WriteString(conn, again)
 		case "/ok":
 			_, _ = io.WriteString(conn, expected)
 		case "/stray":
@@ -225,6 +230,8 @@
 			path = a.Vals[0]
 		case "method":
 			method = a.Vals[0]
+		case "id":
+			id = a.Vals[0]
 		}
 	}
 	d.MaybeScanArgs(t, "size", &size)
@@ -244,7 +251,7 @@
 	if d.HasArg("cancel") {
 		time.AfterFunc(50*time.Millisecond, cancel)
 	}
-	sending := NewSending(!d.HasArg("not-repeatable"))
+	sending := NewSending(!d.HasArg("not-repeatable")).WithID(id)
 	if d.HasArg("limit") {
 		sending = sending.WithLimit(limitChecks(t, d))
 	}
@@ -254,7 +261,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if d.HasArg("discard") {
-		Discard(response.Body, 1<<10)
+		DiscardRefusal(response.Body, 1<<10)
 		return "discarded"
 	}
 	if d.HasArg("unread") {
@@ -264,6 +271,9 @@
 	if err != nil {
 		return fmt.Sprintf("broken after %d bytes", len(body))
 	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Sprintf("status %d", response.StatusCode)
+	}
 	return string(body)
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -141,7 +141,7 @@
 		return nil, noRefusal, client.NewError(err, true)
 	}
 	if refused {
-		client.Discard(response.Body, maxRefusalBytes)
+		client.DiscardRefusal(response.Body, maxRefusalBytes)
 		return nil, refusal, nil
 	}
 	answer, err := readPrefix(response)
@@ -154,7 +154,7 @@
 
 // sending returns how a request may be sent to the backend server.
 func (n *Node) sending(d decision, envelope jackdawbridge.Envelope) client.Sending {
-	sending := client.NewSending(envelope.Idempotent())
+	sending := client.NewSending(envelope.Idempotent()).WithID(string(envelope.ID()))
 	if d.sendBy == 0 {
 		return sending
 	}
