reducer: an unreadable seed record is claimed

New nodes no longer found the fleet through a seed record that another program had overwritten without a lease: it could not be read, so no member took it for vacant and none replaced it. With all three records odd, a node that starts alone never joins.

A record that cannot be read names no member, so its responsible member claims it at its version. The fake store keeps the version of an unreadable record, as the real client does. A statement that stood twice is gone.

testdata/odd-seed failed before ("records: 2", want 3).

--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -189,7 +189,12 @@
 	}
 	slot := &p.seeds.slots[number]
 	slot.pending = false
-	if e.Status() != jackdawbridge.StoreOK {
+	switch e.Status() {
+	case jackdawbridge.StoreOK:
+	case jackdawbridge.StoreInvalid:
+		// Another program wrote it. It names no member, so a member claims the record.
+		p.r.fx.Warn(jackdawbridge.PartMember, "seed record is unreadable and counts as vacant").Str("record", string(e.Name()))
+	default:
 		slot.valid = false
 		p.checkScanned()
 		return
@@ -206,7 +211,6 @@
 	}
 	other := found && seed.Peer().Node().Instance() != p.r.self.Node().Instance()
 	p.seeds.foundOther = p.seeds.foundOther || other
-	p.seeds.foundOther = p.seeds.foundOther || other
 	if other && !p.alive(seed.Peer().Node()) {
 		p.r.send(seed.Peer(), jackdawbridge.NewMembersRequest())
 	}
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -88,7 +88,7 @@
 		return
 	}
 	if s.unreadable == name {
-		s.answer(n, name, jackdawbridge.StoreInvalid, jackdawbridge.Record{}, watch, storeDelay+s.extraDelay)
+		s.answer(n, name, jackdawbridge.StoreInvalid, jackdawbridge.NewRecord(name, s.records[name].Version(), nil), watch, storeDelay+s.extraDelay)
 		return
 	}
 	record, ok := s.records[name]
@@ -135,6 +135,9 @@
 	case s.records[name].Version() != version:
 		status, delay = jackdawbridge.StoreConflict, storeDelay+s.extraDelay
 	default:
+		if s.unreadable == name {
+			s.unreadable = ""
+		}
 		current = s.put(name, value, lease)
 		status, delay = jackdawbridge.StoreOK, storeDelay+s.extraDelay
 	}
