client: await the result of the last write of an upload

A connection was closed although its answer had come: the answer to an upload overtakes the result of the write that sent its last bytes, and finish took the body for unsent. Callers paid with a new connection.

The body counts what has been read of it. Once it has ended, finish awaits the result, for 50 ms at most; before that the upload is under way, and the connection is closed as before.

--- a/client/client.go
+++ b/client/client.go
@@ -57,6 +57,9 @@
 	discardTimeout = 50 * time.Millisecond
 	// maxRefused is the number of refused requests after which a connection is closed.
 	maxRefused = 64
+	// lastWriteTimeout limits the wait for the result of a write whose body has ended. The
+	// backend server may have answered without reading it.
+	lastWriteTimeout = 50 * time.Millisecond
 	// maxStrayBody limits the body of a discarded answer in bytes.
 	maxStrayBody = 1 << 20
 )
@@ -358,6 +361,7 @@
 	id            string      // of the request, empty if unknown
 	detachContext func() bool // detaches the connection from the context, whose end closes it; reports false if the context has ended
 	writeResult   chan error  // receives the result of a concurrent write; nil if the request is written before the answer is read
+	upload        *upload     // body of a concurrent write
 	answerStarted bool        // the head of an answer has arrived
 	notReusable   bool        // the connection must not be used again, for example because an answer to another request arrived
 }
@@ -367,6 +371,8 @@
 func (x *exchange) run(match func(*http.Response) Match) (*http.Response, error) {
 	if x.request.Body != nil && (x.request.ContentLength < 0 || x.request.ContentLength >= concurrentBodySize) {
 		x.writeResult = make(chan error, 1)
+		x.upload = &upload{ReadCloser: x.request.Body, left: x.request.ContentLength}
+		x.request.Body = x.upload
 		go func() { x.writeResult <- x.write() }()
 	} else if err := x.write(); err != nil {
 		return nil, err
@@ -439,18 +445,30 @@
 // was not cancelled, and the backend server keeps the connection open. Otherwise it
 // closes the connection.
 func (x *exchange) finish(closeAfter bool, idleLimit time.Duration) {
-	requestSent := x.writeResult == nil
-	if !requestSent {
-		select {
-		case err := <-x.writeResult:
-			requestSent = err == nil
-		default: // the write has not reported its result, so the body may not have been sent
-		}
-	}
-	if !x.detachContext() || !requestSent || closeAfter || x.notReusable || x.conn.reader.Buffered() > 0 {
+	if !x.detachContext() || !x.requestSent() || closeAfter || x.notReusable || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
 	}
 	x.conn.idleLimit = idleLimit
 	x.client.putIdle(x.conn)
 }
+
+// requestSent reports whether the whole request was sent. The last bytes of a body may
+// be answered before the write that sent them reports its result, so that result is
+// awaited once the body has been read to its end.
+func (x *exchange) requestSent() bool {
+	if x.writeResult == nil {
+		return true
+	}
+	if !x.upload.ended.Load() {
+		return false
+	}
+	timeout := time.NewTimer(lastWriteTimeout)
+	defer timeout.Stop()
+	select {
+	case err := <-x.writeResult:
+		return err == nil
+	case <-timeout.C:
+		return false
+	}
+}
