reducer: calls inside their rate wait for the next holder of its tokens

Two causes, seen in testdata/handover-slow with a platform of 50 to 450 ms:

- The new holder counted tokens as outstanding for 3 s that borrowers had spent already: they reported to the former holder, which had dropped the grants.
It keeps them now until they expire, and sends a further Handover with what is still outstanding; the new holder frees the difference.
Repeated, late and reordered ones are harmless, the number only falls.
- A call waited 50 ms if an issuer had answered in the last 100 ms, whatever the answer.
It waits that short only after a denial or a grant of fewer tokens, and up to 500 ms while no issuer acts and for 100 ms after one acts again.

Ruled out: a slow store alone (no stop: all served).

--- a/reducer/account_tokens.go
+++ b/reducer/account_tokens.go
@@ -50,6 +50,9 @@
 	pendingID       jackdawbridge.GrantID  // id of the request that awaits an answer, 0 if there is none
 	pausedUntil     jackdawbridge.Millis   // until when all issuers are paused
 	issuerSeenUntil jackdawbridge.Millis   // until when an issuer of the local data centre counts as reachable
+	deniedUntil     jackdawbridge.Millis   // until when a denial or a grant of fewer tokens shows that the account is over its rate
+	interrupted     bool                   // the last request reached no issuer that acts
+	resumedAt       jackdawbridge.Millis   // when the last interruption ended, 0 if there was none
 	floor           floor
 	windowStart     jackdawbridge.Millis // start of the current arrival window
 	count           int64                // arrivals in the current window
--- a/reducer/issuer.go
+++ b/reducer/issuer.go
@@ -111,6 +111,15 @@
 	at          jackdawbridge.Millis // when the handover arrived
 }
 
+// formerShard is a shard that this node has handed over, while borrowers still report
+// what they spend of its grants.
+type formerShard struct {
+	to          jackdawbridge.Peer   // new holder
+	epoch       uint64               // of the range record that moved the range
+	outstanding int64                // granted tokens not yet accounted for
+	until       jackdawbridge.Millis // when the last grant has expired
+}
+
 // issuer is the state of the shards whose ranges this node holds. It grants their
 // tokens to borrowers.
 type issuer struct {
@@ -121,6 +130,7 @@
 	inheritedExpiry heap.Heap[shard, jackdawbridge.Millis]    // when the inherited tokens of a shard expire
 	inheritedTokens map[shard]int64                           // part of a bucket's outstanding that was inherited and has not expired
 	handovers       map[shard]receivedHandover                // received and not yet applied, at most maxHandovers
+	former          map[shard]formerShard                     // handed over, at most maxHandovers
 	epoch           [jackdawbridge.RangeCount]uint64          // of the record when each range was gained
 }
 
@@ -128,6 +138,7 @@
 	return issuer{
 		buckets: make(map[shard]*bucket), grants: make(map[grantKey]issuedGrant),
 		inheritedTokens: make(map[shard]int64), handovers: make(map[shard]receivedHandover),
+		former: make(map[shard]formerShard),
 	}
 }
 
@@ -233,6 +244,10 @@
 		b.accrue(p.r.now)
 		b.outstanding -= spent + returned
 		b.level = min(b.level+returned*micro, max((b.quota.burst-b.outstanding)*micro, 0))
+	} else if f, ok := p.issuer.former[g.shard]; ok {
+		f.outstanding -= spent + returned
+		p.issuer.former[g.shard] = f
+		p.r.send(f.to, jackdawbridge.NewHandover(g.shard.account, g.shard.index, f.epoch, 0, f.outstanding))
 	}
 	if g.spent+g.returned == g.tokens {
 		delete(p.issuer.grants, key)
@@ -243,26 +258,50 @@
 }
 
 // handoverReceived keeps the state of a shard that a former holder has sent, and
-// applies it if this node has a bucket for the shard.
+// applies it if this node has a bucket for the shard. Further handovers of the same
+// shard say how many tokens are still outstanding; they may overtake the first.
 func (p *shares) handoverReceived(from jackdawbridge.Peer, m *jackdawbridge.Handover) {
 	s := shard{m.Account(), m.Shard()}
 	if from.DataCentre() != p.r.self.DataCentre() || m.Level() < 0 || m.Outstanding() < 0 {
 		return
 	}
+	b, ok := p.issuer.buckets[s]
+	if ok && b.inUse {
+		p.reduceInherited(s, b, m)
+		return
+	}
 	if len(p.issuer.handovers) >= maxHandovers {
 		maps.DeleteFunc(p.issuer.handovers, func(_ shard, h receivedHandover) bool { return p.r.now-h.at > bucketIdle })
 	}
-	if _, ok := p.issuer.handovers[s]; !ok && len(p.issuer.handovers) >= maxHandovers {
+	h := receivedHandover{epoch: m.Epoch(), level: m.Level() * (micro / 1000), outstanding: m.Outstanding(), at: p.r.now}
+	old, known := p.issuer.handovers[s]
+	switch {
+	case known && old.epoch == h.epoch:
+		h = receivedHandover{epoch: h.epoch, level: max(h.level, old.level), outstanding: min(h.outstanding, old.outstanding), at: old.at}
+	case !known && len(p.issuer.handovers) >= maxHandovers:
 		return
 	}
-	p.issuer.handovers[s] = receivedHandover{epoch: m.Epoch(), level: m.Level() * (micro / 1000), outstanding: m.Outstanding(), at: p.r.now}
-	if b, ok := p.issuer.buckets[s]; ok {
+	p.issuer.handovers[s] = h
+	if ok {
 		p.applyHandover(s, shardRange(s.account, s.index), b)
 	}
 }
 
+// reduceInherited frees the inherited tokens of a shard that are no longer outstanding,
+// so that the bucket can fill again before they would expire.
+func (p *shares) reduceInherited(s shard, b *bucket, m *jackdawbridge.Handover) {
+	inherited, ok := p.issuer.inheritedTokens[s]
+	if !ok || p.issuer.epoch[shardRange(s.account, s.index)] != m.Epoch() || m.Outstanding() >= inherited {
+		return
+	}
+	b.accrue(p.r.now)
+	b.outstanding -= inherited - m.Outstanding()
+	p.issuer.inheritedTokens[s] = m.Outstanding()
+}
+
 // gained drops any earlier state of the shards of a range that this node now holds.
 func (p *shares) gained(i int) {
+	maps.DeleteFunc(p.issuer.former, func(s shard, _ formerShard) bool { return shardRange(s.account, s.index) == i })
 	p.dropRange(i)
 	p.issuer.epoch[i] = p.r.authority.localRanges.Epoch()
 }
@@ -282,6 +321,7 @@
 	since := p.r.authority.lease.since[i]
 	local := p.r.self.DataCentre()
 	sent := 0
+	maps.DeleteFunc(p.issuer.former, func(_ shard, f formerShard) bool { return p.r.now >= f.until })
 	for _, name := range p.names {
 		for index := range p.plans[name].dataCentreShare(local).shards {
 			if shardRange(name, index) != i {
@@ -295,11 +335,15 @@
 			sent++
 			b.accrue(p.r.now)
 			p.r.send(to, jackdawbridge.NewHandover(name, index, epoch, b.level/(micro/1000), b.outstanding))
+			if b.outstanding > 0 && len(p.issuer.former) < maxHandovers {
+				p.issuer.former[s] = formerShard{to: to, epoch: epoch, outstanding: b.outstanding, until: p.r.now + grantLifetime + grantClockMargin}
+			}
 		}
 	}
 }
 
-// dropRange removes the buckets and grants of a range.
+// dropRange removes the buckets of a range, and its grants unless their shard was handed
+// over.
 func (p *shares) dropRange(i int) {
 	for s := range p.issuer.buckets {
 		if shardRange(s.account, s.index) == i {
@@ -307,7 +351,7 @@
 		}
 	}
 	for key, g := range p.issuer.grants {
-		if shardRange(g.shard.account, g.shard.index) == i {
+		if _, ok := p.issuer.former[g.shard]; !ok && shardRange(g.shard.account, g.shard.index) == i {
 			delete(p.issuer.grants, key)
 			p.issuer.grantExpiry.Remove(key)
 		}
--- a/reducer/share.go
+++ b/reducer/share.go
@@ -116,9 +116,11 @@
 	p.requestTokens(t)
 }
 
-// tokenWait returns how long a call of an account may wait for a token.
+// tokenWait returns how long a call of an account may wait for a token. After an
+// interruption, calls that have waited for its end need some time to get their tokens.
 func (p *shares) tokenWait(t *accountTokens) jackdawbridge.Millis {
-	if p.floors || p.r.now-t.issuerSeenUntil < issuerSilence {
+	resumed := t.interrupted || t.resumedAt > 0 && p.r.now-t.resumedAt < 2*maxTokenWait
+	if p.floors || p.r.now < t.deniedUntil && !resumed {
 		return maxTokenWait
 	}
 	return unreachableTokenWait
@@ -266,6 +268,7 @@
 	t.pausedUntil = 0
 	p.recordIssuerAnswer(req, 0)
 	if m.Tokens() < req.want {
+		t.deniedUntil = p.r.now + maxTokenWait
 		p.pause(req, partialGrantPause)
 	}
 	t.held = append(t.held, heldGrant{
@@ -297,8 +300,11 @@
 	if !ok {
 		return
 	}
-	if !m.Unavailable() {
+	if m.Unavailable() {
+		req.accountTokens.interrupted = true
+	} else {
 		p.recordIssuerAnswer(req, m.RetryAfter())
+		req.accountTokens.deniedUntil = p.r.now + m.RetryAfter() + maxTokenWait
 	}
 	p.tryNextIssuer(req, max(m.RetryAfter(), 1))
 }
@@ -307,8 +313,12 @@
 // span is the wait that a denial imposes. No other answer is expected during that
 // time, so the issuer counts as reachable until it ends.
 func (p *shares) recordIssuerAnswer(req pendingRequest, span jackdawbridge.Millis) {
+	t := req.accountTokens
 	if req.issuer.DataCentre() == p.r.self.DataCentre() {
-		req.accountTokens.issuerSeenUntil = max(req.accountTokens.issuerSeenUntil, p.r.now+span)
+		t.issuerSeenUntil = max(t.issuerSeenUntil, p.r.now+span)
+	}
+	if t.interrupted {
+		t.interrupted, t.resumedAt = false, p.r.now
 	}
 }
 
@@ -493,6 +503,7 @@
 			p.post(req.issuer, jackdawbridge.NewTokenRequest(id, req.accountTokens.account, req.shard, req.want))
 		default:
 			req.accountTokens.pendingID = 0
+			req.accountTokens.interrupted = true
 			p.tryNextIssuer(req, unreachablePause)
 		}
 	}
