client, link: a request is not sent once its caller has left

Requests reached backend servers after their callers had left: on both hops the end of the context closes a connection or resets a request in a goroutine of its own, which races with the send. A goroutine that finds a decision and the end of its context at the same time takes either, so under load a request that waited in a queue is started after it was cancelled.

The two places through which every send goes, client.Do and Pool.Send, look at the context last, and a forwarded request that was cancelled before a goroutine was free for it is dropped.

client/testdata/gone and link/testdata/gone failed before ("requests read 1", want 0; "20 x failed: sent=true", want false).

--- a/client/client.go
+++ b/client/client.go
@@ -214,8 +214,11 @@
 }
 
 // getConn returns an idle connection, or a new one if there is none to reuse. It fails
-// if the time to send the request has passed before or after that.
+// if the caller has left or the time to send the request has passed meanwhile.
 func (c *Client) getConn(ctx context.Context, sending Sending) (*conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	left := sending.timeLeft(dialTimeout)
 	if left <= 0 {
 		return nil, errSendLimit
@@ -224,6 +227,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		_ = cn.Close()
+		return nil, err
+	}
 	if sending.timeLeft(dialTimeout) <= 0 {
 		_ = cn.Close()
 		return nil, errSendLimit
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -248,6 +248,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if d.HasArg("gone") {
+		cancel()
+	}
 	if d.HasArg("cancel") {
 		time.AfterFunc(50*time.Millisecond, cancel)
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -301,8 +301,13 @@
 					f.await("no connection", func() bool { return f.peers() == 0 })
 				}
 				seen := make(map[string]int)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if d.HasArg("gone") {
+					cancel()
+				}
 				for range count {
-					seen[f.send(t.Context(), to, path, size, d.HasArg("streamed"))]++
+					seen[f.send(ctx, to, path, size, d.HasArg("streamed"))]++
 				}
 				return showCounts(seen)
 			case "hold": // sends requests that stay in progress
--- a/link/pool.go
+++ b/link/pool.go
@@ -87,6 +87,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		r, err := c.open(request, body)
 		if err == nil || try > 0 {
 			return r, err
--- a/node/run.go
+++ b/node/run.go
@@ -26,6 +26,9 @@
 		n.replyRefusal(in, decision{refusal: jackdawbridge.NotRunRefusal(jackdawbridge.BadInput), feedback: jackdawbridge.NewFeedback(0, envelope.RetryAllowance())})
 		return
 	}
+	if ctx.Err() != nil {
+		return // the entry node has cancelled the request before a goroutine was free for it
+	}
 	x := n.openExchange()
 	defer n.endExchange(x)
 	n.apply(jackdawbridge.NewForwardArrived(n.now(), x.call, envelope))
