--- a/behaviour.go
+++ b/behaviour.go
@@ -15,6 +15,9 @@
 	// Load reads a record. A record that does not exist has version 0. The error is
 	// ErrInvalid if the value of the record cannot be decoded or is not valid.
 	Load(ctx context.Context, name RecordName) (Record, error)
+	// Scan reads all records whose names begin with a prefix. A record that cannot be
+	// decoded or is not valid has a version and no value.
+	Scan(ctx context.Context, prefix RecordName) ([]Record, error)
 	// Swap is a compare-and-swap: it writes a record if the record has the
 	// given version, 0 for a record that does not exist, and returns the new
 	// version. A nil value removes the record. With a lease above 0 the platform
--- a/effect.go
+++ b/effect.go
@@ -111,6 +111,13 @@
 // Name returns the name of the record.
 func (l *Load) Name() RecordName { return l.name }
 
+// Scan reads all records whose names begin with a prefix. The result is a StoreScanned
+// event.
+type Scan struct{ prefix RecordName }
+
+// Prefix returns the prefix.
+func (s *Scan) Prefix() RecordName { return s.prefix }
+
 // Watch waits until the version of a record differs from the given one. Its result
 // arrives as a StoreLoaded event, after which the reducer adds the next Watch.
 type Watch struct {
@@ -163,6 +170,7 @@
 func (*Cancel) effect()  {}
 func (*Send) effect()    {}
 func (*Load) effect()    {}
+func (*Scan) effect()    {}
 func (*Watch) effect()   {}
 func (*Swap) effect()    {}
 func (*Log) effect()     {}
@@ -255,6 +263,9 @@
 	e.list = append(e.list, l)
 }
 
+// Scan adds a Scan effect.
+func (e *Effects) Scan(prefix RecordName) { e.list = append(e.list, &Scan{prefix: prefix}) }
+
 // Watch adds a Watch effect.
 func (e *Effects) Watch(name RecordName, version uint64) {
 	w := e.watches.New()
--- a/event.go
+++ b/event.go
@@ -330,6 +330,28 @@
 // Record returns the record, if the status is StoreOK.
 func (e *StoreLoaded) Record() Record { return e.record }
 
+// StoreScanned is the result of a Scan effect.
+type StoreScanned struct {
+	eventTime
+	prefix  RecordName
+	status  StoreStatus
+	records []Record // if StoreOK; one that cannot be decoded has a version and no value
+}
+
+// NewStoreScanned returns the result of a Scan.
+func NewStoreScanned(at Millis, prefix RecordName, status StoreStatus, records []Record) *StoreScanned {
+	return &StoreScanned{eventTime: eventTime{at}, prefix: prefix, status: status, records: records}
+}
+
+// Prefix returns the prefix of the records' names.
+func (e *StoreScanned) Prefix() RecordName { return e.prefix }
+
+// Status returns the result of the request.
+func (e *StoreScanned) Status() StoreStatus { return e.status }
+
+// Records returns the records, if the status is StoreOK.
+func (e *StoreScanned) Records() []Record { return e.records }
+
 // StoreSwapped is the result of a Swap effect.
 type StoreSwapped struct {
 	eventTime
--- a/node/store.go
+++ b/node/store.go
@@ -24,6 +24,15 @@
 	n.apply(n.loadedEvent(name, record, err))
 }
 
+// scanRecords reads the records with a prefix and reports them to the reducer.
+func (n *Node) scanRecords(prefix jackdawbridge.RecordName) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	records, err := n.deps.store.Scan(ctx, prefix)
+	n.countStoreCall(prefix, err)
+	n.apply(jackdawbridge.NewStoreScanned(n.now(), prefix, storeStatus(err), records))
+}
+
 // watchRecord waits for a change of a record and reports it to the reducer. If
 // none occurs within watchTimeout, it reads the record, so that the reducer learns
 // whether the platform still answers.
--- a/reducer/authority.go
+++ b/reducer/authority.go
@@ -42,7 +42,6 @@
 // majority of the witnesses that the record names (see lease and witness).
 type authority struct {
 	r             *Reducer
-	started       jackdawbridge.Millis
 	localRanges   *jackdawbridge.Ranges                         // record of the local data centre, nil until one has arrived; its progress never falls
 	version       uint64                                        // of localRanges on the platform
 	absent        bool                                          // whether the platform has no record
@@ -66,7 +65,7 @@
 
 func newAuthority(r *Reducer) authority {
 	return authority{
-		r: r, started: r.now, due: r.now, nextRead: r.now,
+		r: r, due: r.now, nextRead: never,
 		recordedPeers: make(map[jackdawbridge.Instance]jackdawbridge.Peer),
 		remoteRanges:  make(map[jackdawbridge.DataCentre]*remoteRanges),
 		exitedNodes:   newExitedNodes(),
@@ -367,7 +366,7 @@
 	}
 	p.rank = rankOf(members, p.self())
 	p.rememberPeers()
-	if !p.loadPending && p.nextRead > p.r.now {
+	if !p.loadPending && p.nextRead > p.r.now && !p.r.members.starting() {
 		p.scheduleRead()
 	}
 	p.change.propose(p, members)
--- a/reducer/fleet_test.go
+++ b/reducer/fleet_test.go
@@ -13,6 +13,13 @@
 // second apart. They join through the node named join, by default the first of
 // them. If a service is given, each node has a backend server of it.
 func (h *harness) startFleet(prefix string, dc jackdawbridge.DataCentre, count int, service, join string) {
+	if join == "none" { // all at once; they find each other through the platform
+		for i := range count {
+			h.start(fmt.Sprint(prefix, i), dc)
+			h.announce(fmt.Sprint(prefix, i), jackdawbridge.ServiceName(service), 4, false)
+		}
+		return
+	}
 	if join == "" {
 		join = prefix + "0"
 	}
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -323,6 +323,9 @@
 	case *jackdawbridge.Load:
 		n.storeRequests++
 		n.h.store.load(n, e.Name())
+	case *jackdawbridge.Scan:
+		n.storeRequests++
+		n.h.store.scan(n, e.Prefix())
 	case *jackdawbridge.Watch:
 		n.storeRequests++
 		n.h.store.watch(n, e.Name(), e.Version())
--- a/reducer/lease.go
+++ b/reducer/lease.go
@@ -92,7 +92,7 @@
 		return false
 	}
 	for i := range jackdawbridge.RangeCount {
-		if p.localRanges.Holder(i) == p.self() || p.replaces(i) && p.r.now >= p.started+takeoverAfter {
+		if p.localRanges.Holder(i) == p.self() || p.replaces(i) && p.r.now >= p.r.started+takeoverAfter {
 			return true
 		}
 	}
@@ -101,7 +101,7 @@
 
 // voteReceived counts the vote of a witness if it is for the record's epoch.
 func (p *authority) voteReceived(from jackdawbridge.Peer, m *jackdawbridge.Vote) {
-	if p.localRanges == nil || m.Epoch() != p.localRanges.Epoch() || m.RequestedAt() < p.started || m.RequestedAt() > p.r.now {
+	if p.localRanges == nil || m.Epoch() != p.localRanges.Epoch() || m.RequestedAt() < p.r.started || m.RequestedAt() > p.r.now {
 		return
 	}
 	if slices.Contains(p.localRanges.Witnesses(), from.Node()) {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -104,10 +104,11 @@
 
 // Reducer holds the whole state of a node.
 type Reducer struct {
-	self   jackdawbridge.Peer // this node as last announced; state and version change
-	now    jackdawbridge.Millis
-	fx     *jackdawbridge.Effects // effects of the current Apply, nil outside it
-	random *rand.ChaCha8
+	self    jackdawbridge.Peer // this node as last announced; state and version change
+	now     jackdawbridge.Millis
+	started jackdawbridge.Millis   // when the process started
+	fx      *jackdawbridge.Effects // effects of the current Apply, nil outside it
+	random  *rand.ChaCha8
 
 	calls      calls
 	runs       runs
@@ -133,7 +134,7 @@
 	if options.picker == nil || options.limiter == nil || options.queue == nil {
 		return nil, errors.New("create reducer: options lack a picker, a limiter or a queue")
 	}
-	r := &Reducer{self: options.self, now: at, random: rand.NewChaCha8(options.seed)}
+	r := &Reducer{self: options.self, now: at, started: at, random: rand.NewChaCha8(options.seed)}
 	r.calls = newCalls(r)
 	r.calls.retryBudgets.permille, r.calls.retryBudgets.burst = options.retryBudget.permille, options.retryBudget.burst
 	r.runs = newRuns(r, options.limiter, options.queue)
@@ -184,6 +185,8 @@
 		r.members.connectionRefused(e.Node())
 	case *jackdawbridge.StoreLoaded:
 		r.loaded(e)
+	case *jackdawbridge.StoreScanned:
+		r.members.seedsScanned(e)
 	case *jackdawbridge.StoreSwapped:
 		r.swapped(e)
 	case *jackdawbridge.StopRequested:
--- a/reducer/remote_centre.go
+++ b/reducer/remote_centre.go
@@ -47,7 +47,7 @@
 	missed     int                  // unanswered probes in a row
 	due        jackdawbridge.Millis // time of the next probe or, without members, of the next read of a seed record
 	refreshDue jackdawbridge.Millis // time of the next request for members
-	nextSeed   int                  // slot of the next seed record to read, below seedSlots
+	nextSeed   int                  // number of requests for members that were sent to holders of seed records
 }
 
 // unreachable reports whether the data centre counts as unreachable.
@@ -316,7 +316,8 @@
 }
 
 // tick probes the other data centres and requests their members at intervals. If
-// this node has no member of a data centre, it reads that data centre's seed records.
+// this node has no member of a data centre, it scans the
+// seed records.
 func (q *remoteCentres) tick() {
 	for _, g := range q.list {
 		if len(g.list) > 0 && q.r.now >= g.refreshDue {
@@ -327,8 +328,9 @@
 		}
 		g.due = q.r.now + q.r.members.jitter(contactInterval)
 		if len(g.list) == 0 {
-			q.r.fx.Load(seedName(g.name, g.nextSeed))
-			g.nextSeed = (g.nextSeed + 1) % seedSlots
+			if q.r.now-q.r.members.seeds.scanSent >= contactInterval/2 {
+				q.r.members.scanSeeds()
+			}
 			continue
 		}
 		target := g.list[q.r.members.draw(len(g.list))].peer
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -104,6 +104,8 @@
 		h.cutAll(arg(d, "from", ""), arg(d, "to", ""), d.Cmd == "cut", arg(d, "ways", "2") == "2")
 	case "store-cut":
 		h.store.cutOff(h.matchingNodes(arg(d, "from", "")), arg(d, "state", "on") == "on")
+	case "store-calls":
+		return h.store.showCalls(), nil
 	case "store-record":
 		return h.setRecordState(jackdawbridge.RecordName(arg(d, "name", "keys")), arg(d, "state", ""))
 	case "withdraw":
--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -19,6 +21,16 @@
 	// responsible for it, while another member holds it. If that holder is dead, the
 	// responsible member replaces it.
 	seedCheck = 15 * jackdawbridge.Second
+	// claimSpread is the time over which the nodes of a data centre without a seed record
+	// spread their first claims. All of them find no record when they start together,
+	// and those that join through the first record need not claim one.
+	claimSpread = jackdawbridge.Second
+	// assignedWait is how long a node waits before it reads a record that it has become
+	// responsible for. Its rank falls while it learns of the other members.
+	assignedWait = 200 * jackdawbridge.Millis(1)
+	// joinGrace is how long a node that has just started leaves calls to the platform to
+	// others that only a few members make.
+	joinGrace = jackdawbridge.Second
 	// maxJoinWait bounds the mean time between two attempts to join by a node that
 	// has no other members. 2,200 such nodes make 330 reads a second.
 	maxJoinWait = 20 * jackdawbridge.Second
@@ -53,10 +65,12 @@
 	due        jackdawbridge.Millis // time of the next attempt to join, while there are no other members
 	wait       jackdawbridge.Millis // mean time from the next attempt to the one after it
 	slots      [seedSlots]seedSlot
-	scanned    bool // a first read of every record has ended, with or without success
-	assigned   int  // slot of the record that this node is responsible for, seedSlots if none
-	foundOther bool // a record named another member of this data centre
-	left       bool // this node exits and has requested the removal of its records
+	scanning   bool                 // a Scan is pending
+	scanSent   jackdawbridge.Millis // when the last Scan was sent
+	scanned    bool                 // a first read of every record has ended, with or without success
+	assigned   int                  // slot of the record that this node is responsible for, seedSlots if none
+	foundOther bool                 // a record named another member of this data centre
+	left       bool                 // this node exits and has requested the removal of its records
 }
 
 func newSeeds(joins []jackdawbridge.Peer) seeds {
@@ -87,10 +101,14 @@
 		return
 	}
 	p.join()
-	s.assigned = seedSlots
+	assigned := seedSlots
 	if s.scanned && p.hashRank < seedSlots {
-		s.assigned = p.hashRank
+		assigned = p.hashRank
 	}
+	if assigned != s.assigned && assigned < seedSlots && !s.slots[assigned].valid && len(p.live) > 0 {
+		s.slots[assigned].due = p.r.now + assignedWait
+	}
+	s.assigned = assigned
 	for i := range s.slots {
 		slot := &s.slots[i]
 		if slot.pending || p.r.now < slot.due || i != s.assigned && !p.holdsSeed(slot) {
@@ -135,11 +153,53 @@
 	for _, m := range p.sample(p.failed, seedSlots, nil) {
 		p.r.send(m.peer, jackdawbridge.NewMembersRequest())
 	}
-	for i := range s.slots {
-		if !s.slots[i].pending {
-			p.readSeed(i)
+	p.scanSeeds()
+}
+
+// scanSeeds reads the seed records of all data centres in one call.
+func (p *members) scanSeeds() {
+	if p.seeds.scanning {
+		return
+	}
+	p.seeds.scanning, p.seeds.scanSent = true, p.r.now
+	p.r.fx.Scan(jackdawbridge.SeedsPrefix)
+}
+
+// seedsScanned handles the result of a scan. Of each other data centre of which this
+// node knows no member, it requests the members from one holder.
+func (p *members) seedsScanned(e *jackdawbridge.StoreScanned) {
+	read := make(map[jackdawbridge.RecordName]jackdawbridge.Record)
+	remote := make(map[jackdawbridge.DataCentre][]jackdawbridge.Peer)
+	for _, record := range e.Records() {
+		dc, _, ok := parseSeedName(record.Name())
+		seed, found := record.Value().(*jackdawbridge.Seed)
+		switch {
+		case !ok:
+		case dc == p.r.self.DataCentre():
+			read[record.Name()] = record
+		case found && seed.Peer().DataCentre() == dc:
+			remote[dc] = append(remote[dc], seed.Peer())
+		}
+	}
+	for i := range p.seeds.slots {
+		if p.seeds.slots[i].pending {
+			continue // a later call will tell
+		}
+		name, status := seedName(p.r.self.DataCentre(), i), e.Status()
+		record, ok := read[name]
+		if status == jackdawbridge.StoreOK && ok && record.Value() == nil {
+			status = jackdawbridge.StoreInvalid
 		}
+		p.seedRead(name, status, record)
 	}
+	for _, dc := range slices.Sorted(maps.Keys(remote)) {
+		if g := p.remote.follow(dc); g != nil && len(g.list) == 0 {
+			p.r.send(remote[dc][g.nextSeed%len(remote[dc])], jackdawbridge.NewServiceMembersRequest(nil))
+			g.nextSeed++
+		}
+	}
+	p.seeds.scanning = false
+	p.checkScanned()
 }
 
 func (p *members) readSeed(i int) {
@@ -167,40 +227,38 @@
 	return ok && (m.peer.Node().Incarnation() > holder.Incarnation() || m.peer.Node() == holder && !m.live())
 }
 
-// seedLoaded handles the result of a read of a seed record. If the record names a
-// member that this node has not learned of or counts as dead, it requests the full
-// list from that member.
+// seedLoaded handles the result of a read of one seed record of this data centre.
 func (p *members) seedLoaded(e *jackdawbridge.StoreLoaded) {
-	dc, number, ok := parseSeedName(e.Name())
-	if !ok {
-		return
+	if dc, _, ok := parseSeedName(e.Name()); ok && dc == p.r.self.DataCentre() {
+		p.seedRead(e.Name(), e.Status(), e.Record())
 	}
-	seed, found := e.Record().Value().(*jackdawbridge.Seed)
-	found = found && e.Status() == jackdawbridge.StoreOK
-	if found && seed.Peer().DataCentre() != dc {
-		p.r.fx.Warn(jackdawbridge.PartMember, "ignored a seed record that names a member of another data centre").Str("record", string(e.Name()))
+}
+
+// seedRead records what a seed record of this data centre holds. If the record names a
+// member that this node has not learned of or counts as dead, it requests the full list
+// from that member.
+func (p *members) seedRead(name jackdawbridge.RecordName, status jackdawbridge.StoreStatus, record jackdawbridge.Record) {
+	_, number, _ := parseSeedName(name)
+	seed, found := record.Value().(*jackdawbridge.Seed)
+	found = found && status == jackdawbridge.StoreOK
+	if found && seed.Peer().DataCentre() != p.r.self.DataCentre() {
+		p.r.fx.Warn(jackdawbridge.PartMember, "ignored a seed record that names a member of another data centre").Str("record", string(name))
 		found = false
 	}
-	if dc != p.r.self.DataCentre() {
-		if g := p.remote.follow(dc); g != nil && found {
-			p.r.send(seed.Peer(), jackdawbridge.NewServiceMembersRequest(nil))
-		}
-		return
-	}
 	slot := &p.seeds.slots[number]
 	slot.pending = false
-	switch e.Status() {
+	switch status {
 	case jackdawbridge.StoreOK:
 	case jackdawbridge.StoreInvalid:
 		// Another program wrote it. It names no member, so a member claims the record.
-		p.r.fx.Warn(jackdawbridge.PartMember, "seed record is unreadable and counts as vacant").Str("record", string(e.Name()))
+		p.r.fx.Warn(jackdawbridge.PartMember, "seed record is unreadable and counts as vacant").Str("record", string(name))
 	default:
 		slot.valid = false
 		p.checkScanned()
 		return
 	}
 	slot.valid = true
-	slot.version = e.Record().Version()
+	slot.version = record.Version()
 	slot.holder = jackdawbridge.Node{}
 	if found {
 		slot.holder = seed.Peer().Node()
@@ -219,6 +277,9 @@
 // checkScanned records that the first reads of all seed records have ended. From
 // then on this node may claim one.
 func (p *members) checkScanned() {
+	if p.seeds.scanning {
+		return
+	}
 	for i := range p.seeds.slots {
 		if p.seeds.slots[i].pending {
 			return
@@ -228,11 +289,21 @@
 		return
 	}
 	p.seeds.scanned = true
+	delay := jackdawbridge.Millis(hashOf(string(p.r.self.Node().Instance()), purposeShard) % uint64(claimSpread))
 	for i := range p.seeds.slots {
-		p.seeds.slots[i].due = p.r.now
+		slot := &p.seeds.slots[i]
+		slot.due = p.r.now
+		if slot.valid && slot.holder.IsZero() {
+			slot.due, slot.valid = p.r.now+delay, false // read again before the claim
+			p.seeds.due = max(p.seeds.due, p.r.now+claimSpread)
+		}
 	}
 }
 
+// starting reports whether this node may not have found the other members yet, so that
+// its rank among them means nothing.
+func (p *members) starting() bool { return p.r.now-p.r.started < joinGrace }
+
 // seedSwapped handles the result of a claim, a renewal or a removal. After a
 // failure the record is read again, since the change may have taken effect.
 func (p *members) seedSwapped(e *jackdawbridge.StoreSwapped) {
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -15,6 +15,9 @@
 	// table. It is long enough that a fleet that starts during an outage does not
 	// overload the platform: 11,000 nodes make 1,400 calls a second.
 	maxStoreRetry = 16 * jackdawbridge.Second
+	// missingTableInterval is the time between two reads by a node that has found no table
+	// and has peers. The watchers among them send the table when there is one.
+	missingTableInterval = 5 * jackdawbridge.Second
 	// watchers is the number of members of a data centre that watch the platform's
 	// tables.
 	watchers = 2
@@ -216,6 +219,9 @@
 	s.version = e.Record().Version()
 	table, reason := p.readable(s, e.Record())
 	if reason != "" {
+		if s.table == nil && !p.watches() {
+			s.loadDue = p.r.now + missingTableInterval
+		}
 		p.refuse(s, reason, int64(s.version))
 		return
 	}
@@ -314,6 +320,9 @@
 
 // watches reports whether this node is currently a watcher of the platform.
 func (p *settings) watches() bool {
+	if p.r.members.starting() {
+		return false
+	}
 	rank := p.r.members.hashRank
 	return rank < watchers || rank < backupWatchers && p.confirmedAge() > 2*p.readInterval()
 }
@@ -369,6 +378,9 @@
 		p.pullAgain(s)
 	}
 	watches := p.watches()
+	if watches && s.table == nil && s.retryWait == storeRetry {
+		s.loadDue = min(s.loadDue, s.loadSent+p.readInterval())
+	}
 	if !s.loading && p.r.now >= s.loadDue && (watches || !s.loadEnded || s.table == nil) {
 		s.loading = true
 		s.loadSent = p.r.now
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -1,6 +1,13 @@
 package reducer
 
-import "github.com/jackdawbridge/jackdawbridge"
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/jackdawbridge/jackdawbridge"
+)
 
 // fakeStore is a fake of the platform's store of records.
 type fakeStore struct {
@@ -17,6 +24,29 @@
 	reads          int                      // including watches
 	watches        int
 	writes         int
+	calls          map[string]int // by verb and kind of record
+}
+
+// count counts a call. A write under a lease is two calls.
+func (s *fakeStore) count(verb string, name jackdawbridge.RecordName, calls int) {
+	if s.calls == nil {
+		s.calls = make(map[string]int)
+	}
+	kind, _, _ := strings.Cut(string(name), "/")
+	s.calls[verb+" "+kind] += calls
+}
+
+// showCalls lists the calls since the last time, per node where that is a whole number
+// or more.
+func (s *fakeStore) showCalls() string {
+	total := 0
+	var lines []string
+	for _, kind := range slices.Sorted(maps.Keys(s.calls)) {
+		total += s.calls[kind]
+		lines = append(lines, fmt.Sprintf("%s: %d", kind, s.calls[kind]))
+	}
+	clear(s.calls)
+	return strings.Join(append(lines, fmt.Sprintf("all: %d", total)), "\n")
 }
 
 // heldRevision records from which instant on the platform held a revision of a
@@ -79,9 +109,35 @@
 
 func (s *fakeStore) load(n *fakeNode, name jackdawbridge.RecordName) {
 	s.reads++
+	s.count("load", name, 1)
 	s.read(n, name, false)
 }
 
+func (s *fakeStore) scan(n *fakeNode, prefix jackdawbridge.RecordName) {
+	s.reads++
+	s.count("scan", prefix, 1)
+	status, delay := jackdawbridge.StoreOK, storeDelay+s.extraDelay
+	var records []jackdawbridge.Record
+	for _, name := range slices.Sorted(maps.Keys(s.records)) {
+		if !strings.HasPrefix(string(name), string(prefix)) {
+			continue
+		}
+		record := s.records[name]
+		if s.unreadable == name {
+			record = jackdawbridge.NewRecord(name, record.Version(), nil)
+		}
+		records = append(records, record)
+	}
+	if s.unreachable(n) {
+		status, delay, records = jackdawbridge.StoreFailed, storeTimeout, nil
+	}
+	s.h.after(delay, func() {
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewStoreScanned(at, prefix, status, records)
+		})
+	})
+}
+
 func (s *fakeStore) read(n *fakeNode, name jackdawbridge.RecordName, watch bool) {
 	if s.unreachable(n) {
 		s.answer(n, name, jackdawbridge.StoreFailed, jackdawbridge.Record{}, watch, storeTimeout)
@@ -101,6 +157,7 @@
 func (s *fakeStore) watch(n *fakeNode, name jackdawbridge.RecordName, version uint64) {
 	s.reads++
 	s.watches++
+	s.count("watch", name, 1)
 	s.resumeWatch(n, name, version)
 }
 
@@ -128,6 +185,7 @@
 
 func (s *fakeStore) swap(n *fakeNode, name jackdawbridge.RecordName, version uint64, value jackdawbridge.Value, lease jackdawbridge.Millis) {
 	s.writes++
+	s.count("swap", name, 1+min(int(lease), 1))
 	status, current := jackdawbridge.StoreFailed, uint64(0)
 	delay := storeTimeout
 	switch {
--- a/reducer/witness.go
+++ b/reducer/witness.go
@@ -159,7 +159,7 @@
 		switch {
 		case peer.Node() == node:
 			p.recordedPeers[node.Instance()] = peer
-		case p.recordedPeers[node.Instance()].Node() != node && peer.Node().Incarnation() > node.Incarnation() && p.r.now >= p.started+unseenPredecessorAfter:
+		case p.recordedPeers[node.Instance()].Node() != node && peer.Node().Incarnation() > node.Incarnation() && p.r.now >= p.r.started+unseenPredecessorAfter:
 			p.nodeExited(node)
 		}
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,7 @@
 	minTTL        = time.Second      // shortest lease granted
 	maxTTL        = 10 * time.Minute // longest lease granted
 	maxEvents     = 4096             // events kept for watches
+	maxPage       = 2                // items of a scan, few so that tests need several pages
 	maxTxnEntries = 32               // limit for the preconditions, puts and deletes of one transaction together
 )
 
@@ -55,6 +57,7 @@
 		items: make(map[string]platform.Item), leases: make(map[uint64]*time.Timer), changed: make(chan struct{}),
 	}
 	p.mux.HandleFunc("GET "+platform.PathKey, p.get)
+	p.mux.HandleFunc("GET "+platform.PathRange, p.scan)
 	p.mux.HandleFunc("GET "+platform.PathWatch, p.watch)
 	p.mux.HandleFunc("POST "+platform.PathTxn, p.txn)
 	p.mux.HandleFunc("POST "+platform.PathLease, p.lease)
@@ -117,6 +120,25 @@
 	writeJSON(w, item)
 }
 
+// scan returns a page of the items with a prefix, in the order of their keys.
+func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
+	p.beginCall(r, "range")
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	page := platform.Range{Items: []platform.Item{}}
+	for _, key := range slices.Sorted(maps.Keys(p.items)) {
+		switch {
+		case !strings.HasPrefix(key, prefix) || key <= after:
+		case len(page.Items) == maxPage:
+			page.More = true
+		default:
+			page.Items = append(page.Items, p.items[key])
+		}
+	}
+	writeJSON(w, page)
+}
+
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
