node: a request whose caller has left while it lay unread is dropped

The node looks for the end of the connection, by a system call that reads nothing, after it has read a request and before the request counts as a call. A caller that has sent a further request on the connection can't be seen to leave.

The check of the context before each send, on both hops, stays: it closes the same gap behind the queue.

--- a/node/caller.go
+++ b/node/caller.go
@@ -38,6 +38,10 @@
 		n.refuseBadInput(w, r, child, err)
 		return
 	}
+	if callerLeft(r.Context()) {
+		n.metrics.count("calls_abandoned")
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(headerRequest, string(in.head.Request().ID()))
 	x := n.openExchange()
 	defer n.endExchange(x)
--- a/node/listen.go
+++ b/node/listen.go
@@ -92,8 +92,11 @@
 	}}
 	connections := newConnTracker()
 	server := &http.Server{
-		Handler:           n.limitBodyWait(handler),
-		ConnState:         connections.setState,
+		Handler:   n.limitBodyWait(handler),
+		ConnState: connections.setState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 		ReadHeaderTimeout: n.limits.headerTimeout,
 		IdleTimeout:       n.limits.idleTimeout,
 		MaxHeaderBytes:    n.limits.maxHeaderBytes,
@@ -247,9 +250,19 @@
 	}
 }
 
+// connKey is the key of a connection in the context of its requests.
+type connKey struct{}
+
+// callerLeft reports whether the caller has closed the connection behind a request. The
+// context of the request does not show that yet if the request lay unread meanwhile.
+func callerLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(*boundedConn)
+	return ok && conn.Ended()
+}
+
 // boundedConn is a connection that counts towards the limit of a boundedListener.
 type boundedConn struct {
-	net.Conn
+	socket.Conn
 	once    sync.Once
 	onClose func()
 }
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -14,11 +14,14 @@
 	// Idle reports whether there is nothing to read: neither unread bytes nor the end
 	// of the connection have arrived.
 	Idle() bool
+	// Ended reports whether the peer has closed the connection and nothing is left to
+	// read before its end.
+	Ended() bool
 }
 
 // Wrap returns a connection that reads and writes conn by raw system calls. If conn is not
-// a TCP connection or the system is not supported, Read and Write are those of conn, and
-// Idle always returns true.
+// a TCP connection or the system is not supported, Read and Write are those of conn,
+// Idle always returns true and Ended always returns false.
 func Wrap(conn net.Conn) Conn {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if c, err := wrap(tcp); err == nil {
@@ -31,5 +34,8 @@
 // plain is a connection that is used without raw system calls.
 type plain struct{ net.Conn }
 
+// Ended always returns false, because a net.Conn cannot look for its end without reading.
+func (plain) Ended() bool { return false }
+
 // Idle always returns true, because a net.Conn cannot look for bytes without reading them.
 func (plain) Idle() bool { return true }
--- a/socket/socket_linux.go
+++ b/socket/socket_linux.go
@@ -102,12 +102,24 @@
 // Idle reports whether the connection is open and no bytes have arrived. It reads
 // nothing from the connection.
 func (c *conn) Idle() bool {
-	idle := false
+	_, errno, ok := c.peek()
+	return ok && errno == syscall.EAGAIN
+}
+
+// Ended reports whether the end of the connection or a reset comes next. It reads
+// nothing from the connection.
+func (c *conn) Ended() bool {
+	n, errno, ok := c.peek()
+	return !ok || errno == 0 && n == 0 || errno != 0 && errno != syscall.EAGAIN
+}
+
+// peek looks for a byte to read. It returns their number, 0 at the end of the connection,
+// or the error of the system call, and false if the connection is closed.
+func (c *conn) peek() (n uintptr, errno syscall.Errno, ok bool) {
 	var one [1]byte
 	err := c.raw.Control(func(fd uintptr) {
-		_, _, errno := syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&one)), 1,
+		n, _, errno = syscall.RawSyscall6(syscall.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&one)), 1,
 			syscall.MSG_PEEK|syscall.MSG_DONTWAIT, 0, 0)
-		idle = errno == syscall.EAGAIN
 	})
-	return err == nil && idle
+	return n, errno, err == nil
 }
