reducer: a process whose clock is behind its predecessor's takes a higher incarnation

After a restart on a machine whose time of day had stepped back, callers lost the node and its backend server until the time had caught up: incarnations are wall clock times, so peers took the new process for the older one, and the new process drained and ended when it learned of its predecessor, again and again.

A process that learns within 3 s of its start of a higher incarnation on its own addresses takes the next one above it; nobody else can listen there. Its tokens and leases are dropped, as after a refutation. Later, or while it stops, it drains as before (TestOlderProcessStops).

testdata/restart-clock failed before ("upstreams: 1, of which do not serve: 1" after 5 s). Ruled out: a counter that survives the process (no disk), the boot clock (starts anew after a loss of power).

--- a/peer.go
+++ b/peer.go
@@ -85,6 +85,12 @@
 // Version returns the number of the announcement that describes p.
 func (p Peer) Version() uint64 { return p.version }
 
+// WithNode returns p under another identity.
+func (p Peer) WithNode(node Node) Peer {
+	p.node = node
+	return p
+}
+
 // WithBackend returns p with the backend server's service, slots and connections.
 func (p Peer) WithBackend(service ServiceName, slots, conns int) Peer {
 	p.service = service
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -206,7 +206,7 @@
 	}
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(index + 1)}), 7000)
 	clockSkew := h.clockSkews[name]
-	node := jackdawbridge.NewNode(jackdawbridge.Instance(name), uint64(h.now))
+	node := jackdawbridge.NewNode(jackdawbridge.Instance(name), uint64(h.now+clockSkew))
 	peer := jackdawbridge.NewPeer(node, dc, jackdawbridge.NewAddresses(address, address, address))
 	var peers []jackdawbridge.Peer
 	for _, j := range joins {
@@ -365,7 +365,7 @@
 
 func (h *harness) byNode(node jackdawbridge.Node) *fakeNode {
 	n := h.nodes[string(node.Instance())]
-	if n == nil || n.peer.Node() != node {
+	if n == nil || n.reducer.self.Node() != node {
 		return nil
 	}
 	return n
--- a/reducer/rumor.go
+++ b/reducer/rumor.go
@@ -26,6 +26,9 @@
 	// It bounds the messages sent in a burst of changes, and is short enough for a
 	// rumor to travel 8 hops within 1 s.
 	rumorRoundInterval = 100 * jackdawbridge.Millis(1)
+	// successionTime is how long after its start a process that learns of a higher
+	// incarnation takes that for its predecessor's. Later it is a newer process.
+	successionTime = 3 * jackdawbridge.Second
 	// refutationInterval is the least time between two messages in which a node
 	// notifies the same member that it is suspect or dead.
 	refutationInterval = jackdawbridge.Second / 2
@@ -148,7 +151,11 @@
 func (p *members) refute(peer jackdawbridge.Peer, liveness jackdawbridge.Liveness) {
 	self := p.r.self
 	if peer.Node().Incarnation() > self.Node().Incarnation() {
-		p.replacedBy(peer)
+		if peer.Addresses() == self.Addresses() && p.r.now-p.r.started < successionTime && !p.r.drain.stopping {
+			p.succeed(peer)
+		} else {
+			p.replacedBy(peer)
+		}
 		return
 	}
 	if peer.Node() != self.Node() || liveness == jackdawbridge.Alive || peer.Version() < self.Version() || p.r.drain.exited {
@@ -163,6 +170,19 @@
 	p.r.announce(self.WithVersion(peer.Version()))
 }
 
+// succeed gives this process an incarnation above that of a predecessor, which started
+// when the time of day was ahead. The predecessor has ended, since this process listens
+// on its addresses.
+func (p *members) succeed(predecessor jackdawbridge.Peer) {
+	old := p.r.self.Node()
+	p.r.fx.Warn(jackdawbridge.PartMember, "incarnation raised: an earlier process has a higher one").About("", predecessor.Node()).
+		Int("incarnation", int64(old.Incarnation()))
+	p.r.routes.forget(old)
+	p.r.shares.resetAfterFreeze()
+	p.r.authority.resetAfterFreeze()
+	p.r.announce(p.r.self.WithNode(jackdawbridge.NewNode(old.Instance(), predecessor.Node().Incarnation()+1)))
+}
+
 // replacedBy drains this node after a newer process started under the same
 // instance name.
 func (p *members) replacedBy(by jackdawbridge.Peer) {
