check: a service may have as many routes as a configuration has room for

Callers got 404 for new routes and nothing once the services of the old ones were gone.

The limit is 32,768 routes now; a stored value of 1 MB has no room for more. The memory of a receiver stays bounded by the size of values and messages.

testdata/tables: 8,000 routes were "invalid" before.

--- a/check.go
+++ b/check.go
@@ -19,7 +19,7 @@
 	maxFingerprints      = 16384   // of a CrashReport; as many as the calls that a node holds at once
 	maxEntries           = 65536   // of a table; a stored record is limited to 1 MB
 	maxShares            = 64      // of an account
-	maxRoutes            = 1024    // of a service
+	maxRoutes            = 1 << 15 // of a service; a stored value has no room for more
 	maxMethods           = 16      // of a route
 	maxDestinations      = 64      // of a route
 	maxWeight            = 1 << 30 // of a destination; sums of weights stay far from overflow
