--- a/reducer/remote_centre.go
+++ b/reducer/remote_centre.go
@@ -47,7 +47,7 @@
 	missed     int                  // unanswered probes in a row
 	due        jackdawbridge.Millis // time of the next probe or, without members, of the next read of a seed record
 	refreshDue jackdawbridge.Millis // time of the next request for members
-	nextSeed   int                  // number of requests for members that were sent to holders of seed records
+	nextHolder int                  // holder of a seed record that is next requested to send members, counted over all of them
 }
 
 // unreachable reports whether the data centre counts as unreachable.
@@ -316,8 +316,7 @@
 }
 
 // tick probes the other data centres and requests their members at intervals. If
-// this node has no member of a data centre, it scans the
-// seed records.
+// this node has no member of a data centre, it scans the seed records.
 func (q *remoteCentres) tick() {
 	for _, g := range q.list {
 		if len(g.list) > 0 && q.r.now >= g.refreshDue {
--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -194,8 +194,8 @@
 	}
 	for _, dc := range slices.Sorted(maps.Keys(remote)) {
 		if g := p.remote.follow(dc); g != nil && len(g.list) == 0 {
-			p.r.send(remote[dc][g.nextSeed%len(remote[dc])], jackdawbridge.NewServiceMembersRequest(nil))
-			g.nextSeed++
+			p.r.send(remote[dc][g.nextHolder%len(remote[dc])], jackdawbridge.NewServiceMembersRequest(nil))
+			g.nextHolder++
 		}
 	}
 	p.seeds.scanning = false
