client: the script on dropped connections waits for what it says

The script drops a connection after a pause of 40 ms and expects that an idle connection of another such pause is not used again. The limit is half of the idle time of the dropped one, as it was: on a busy machine the first pause lasted over twice as long as the second, so that the second was within the limit.

A pause is now at least as long as the idle time after which a connection was dropped. The client is unchanged.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -300,8 +300,11 @@
 					s.settle(t)
 				}
 				return fmt.Sprintf("%s (new connections %d, requests read %d)", result, s.conns.Load()-conns, s.requests.Load()-requests)
-			case "pause": // longer than nonRepeatableIdleTime
-				time.Sleep(2 * nonRepeatableIdleTime)
+			case "pause": // longer than nonRepeatableIdleTime and than an idle time that was too long
+				c.mu.Lock()
+				least := max(2*nonRepeatableIdleTime, c.droppedAfter)
+				c.mu.Unlock()
+				time.Sleep(least)
 				return ""
 			case "new":
 				c.Close()
