reducer: log lines name the source and age of a table, and the tables of a decision

The line of a call had the revision in force at its end, not the one that decided it, and none for keys; the line of a table in force had neither its source nor the age of what it replaced.

'new table revision in force' has source (read, watch or peer, with the peer) and unconfirmed_ms, the time since the platform last confirmed the table that is replaced.

The fake platform of the tests ends a watch after 30 s, as a node does: until now a watch lasted for ever, so that every node that had watched once still did. Its calls can be made to hang.

--- a/log.go
+++ b/log.go
@@ -25,7 +25,7 @@
 }
 
 // maxAttrs limits the attributes of a Log.
-const maxAttrs = 10
+const maxAttrs = 12
 
 // Attr is a named value of a Log: an input or a result of a decision.
 type Attr struct {
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -42,6 +42,7 @@
 	next             *call                // next call of the same run
 	previous         *call                // previous call of the same run
 	route            *jackdawbridge.Route // route that covers the request
+	config, keys     uint64               // revisions of the tables by which the request was decided
 	startRecorded    bool                 // the start is recorded under the idempotency key
 	maybeRan         bool                 // an attempt may have run
 	status           int                  // status of the answer that is passed on
@@ -93,6 +94,7 @@
 	if !p.r.settings.ready() {
 		return jackdawbridge.NotReady
 	}
+	c.config, c.keys = p.r.settings.config.revision(), p.r.settings.keys.revision()
 	service, ok := p.r.settings.service(c.request.Service())
 	if !ok {
 		return jackdawbridge.UnknownService
@@ -265,7 +267,7 @@
 	p.r.routes.attemptStarted(c.target)
 	p.r.fx.Forward(c.id, c.attempt, target, envelope)
 	p.r.fx.Log(jackdawbridge.PartRoute, "request forwarded").About(c.request.ID(), c.target).Str("service", string(c.envelope.Service())).
-		Int("attempt", int64(c.attempt)).Duration("left_ms", c.deadline-p.r.now)
+		Int("attempt", int64(c.attempt)).Int("config", int64(c.config)).Duration("left_ms", c.deadline-p.r.now)
 }
 
 // answered processes the answer to an attempt, or its failure: it passes the answer
@@ -340,7 +342,7 @@
 func (p *calls) logEnd(text string, c *call) *jackdawbridge.Log {
 	return p.r.fx.Log(jackdawbridge.PartCall, text).About(c.request.ID(), c.target).
 		Str("account", string(c.envelope.Account())).Str("service", string(c.envelope.Service())).
-		Int("config", int64(p.r.settings.revision(jackdawbridge.ConfigTable))).
+		Int("config", int64(c.config)).Int("keys", int64(c.keys)).
 		Int("attempts", int64(c.attempt)).Duration("took_ms", p.r.now-c.arrived)
 }
 
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -23,6 +23,7 @@
 	linkDelay      jackdawbridge.Millis = 1
 	storeDelay     jackdawbridge.Millis = 3
 	storeTimeout   jackdawbridge.Millis = 500
+	watchTimeout   jackdawbridge.Millis = 30_000
 	connectTimeout jackdawbridge.Millis = 200
 	backendRestart jackdawbridge.Millis = 300
 	harnessOrigin  jackdawbridge.Millis = 1_000_000_000
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -118,6 +118,10 @@
 		return h.waitInForce(jackdawbridge.Millis(intArg(d, "within", 0))), nil
 	case "watchers":
 		return strconv.Itoa(len(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))))), nil
+	case "freeze-watchers":
+		for _, name := range h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))) {
+			h.freeze(name, jackdawbridge.Millis(intArg(d, "ms", 0)))
+		}
 	case "cut-watchers":
 		h.store.cutOff(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))), true)
 	case "kill-watchers":
@@ -142,6 +146,7 @@
 		h.store.setDown(arg(d, "state", "up") == "down")
 		h.store.lostAnswers = intArg(d, "lose", 0)
 		h.store.extraDelay = jackdawbridge.Millis(intArg(d, "slow", 0))
+		h.store.failAfter = jackdawbridge.Millis(intArg(d, "hang", 0))
 	case "service-time":
 		h.nodes[arg(d, "node", "")].serviceTime = jackdawbridge.Millis(intArg(d, "ms", 5))
 	case "call":
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -226,7 +226,11 @@
 		return
 	}
 	s.refusal = ""
-	p.adopt(s, table, nil)
+	source := "read"
+	if e.Watch() {
+		source = "watch"
+	}
+	p.adopt(s, table, nil, source, jackdawbridge.Node{})
 	if !e.Watch() && table.Revision() == s.revision() {
 		p.confirmAt(s, s.loadSent)
 	}
@@ -294,7 +298,8 @@
 
 // adopt puts a table in force if its revision is newer, and schedules notices to
 // peers. If changed is nil, the changed entries are unknown and the index is rebuilt.
-func (p *settings) adopt(s *tableState, table *jackdawbridge.Table, changed []jackdawbridge.Entry) {
+// The source is a read, a watch or a peer; from is that peer.
+func (p *settings) adopt(s *tableState, table *jackdawbridge.Table, changed []jackdawbridge.Entry, source string, from jackdawbridge.Node) {
 	if s.table != nil && table.Revision() <= s.table.Revision() {
 		return
 	}
@@ -304,8 +309,11 @@
 	} else {
 		p.index.rebuild(s.name, table.Entries())
 	}
-	p.r.fx.Log(jackdawbridge.PartSettings, "new table revision in force").Str("table", string(s.name)).
-		Int("revision", int64(table.Revision())).Int("entries", int64(len(table.Entries())))
+	line := p.r.fx.Log(jackdawbridge.PartSettings, "new table revision in force").About("", from).Str("table", string(s.name)).
+		Int("revision", int64(table.Revision())).Int("entries", int64(len(table.Entries()))).Str("source", source)
+	if s.confirmed > 0 {
+		line.Duration("unconfirmed_ms", p.r.now-s.confirmed)
+	}
 	if s.name == jackdawbridge.ConfigTable {
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.remote.follow(dc)
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -15,9 +15,11 @@
 	records        map[jackdawbridge.RecordName]jackdawbridge.Record
 	lastVersion    uint64 // last version assigned
 	pendingWatches []fakeWatch
+	lastWatch      int // number of the last watch that had to wait
 	down           bool
 	lostAnswers    int                      // how many of the next writes succeed but are answered with a failure
 	extraDelay     jackdawbridge.Millis     // added to the delay of each answer
+	failAfter      jackdawbridge.Millis     // how long a call that cannot reach the platform takes to fail, 0 for storeTimeout
 	cut            map[string]bool          // nodes that cannot reach the platform
 	unreadable     jackdawbridge.RecordName // the record that cannot be read
 	tableHistory   []heldRevision           // in order of time
@@ -62,6 +64,7 @@
 	node    *fakeNode
 	name    jackdawbridge.RecordName
 	version uint64
+	number  int // distinguishes watches that are otherwise equal
 }
 
 // put writes a record, or deletes it if the value is nil, and answers the watches of
@@ -95,6 +98,14 @@
 
 func (s *fakeStore) unreachable(n *fakeNode) bool { return s.down || s.cut[n.name] }
 
+// failDelay returns how long a call that cannot reach the platform takes to fail.
+func (s *fakeStore) failDelay() jackdawbridge.Millis {
+	if s.failAfter > 0 {
+		return s.failAfter
+	}
+	return storeTimeout
+}
+
 func (s *fakeStore) answer(n *fakeNode, name jackdawbridge.RecordName, status jackdawbridge.StoreStatus, record jackdawbridge.Record, watch bool, delay jackdawbridge.Millis) {
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
@@ -129,7 +140,7 @@
 		records = append(records, record)
 	}
 	if s.unreachable(n) {
-		status, delay, records = jackdawbridge.StoreFailed, storeTimeout, nil
+		status, delay, records = jackdawbridge.StoreFailed, s.failDelay(), nil
 	}
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
@@ -140,7 +151,7 @@
 
 func (s *fakeStore) read(n *fakeNode, name jackdawbridge.RecordName, watch bool) {
 	if s.unreachable(n) {
-		s.answer(n, name, jackdawbridge.StoreFailed, jackdawbridge.Record{}, watch, storeTimeout)
+		s.answer(n, name, jackdawbridge.StoreFailed, jackdawbridge.Record{}, watch, s.failDelay())
 		return
 	}
 	if s.unreadable == name {
@@ -168,7 +179,15 @@
 		s.read(n, name, true)
 		return
 	}
-	s.pendingWatches = append(s.pendingWatches, fakeWatch{n, name, version})
+	s.lastWatch++
+	w := fakeWatch{n, name, version, s.lastWatch}
+	s.pendingWatches = append(s.pendingWatches, w)
+	s.h.after(watchTimeout, func() {
+		if i := slices.Index(s.pendingWatches, w); i >= 0 {
+			s.pendingWatches = slices.Delete(s.pendingWatches, i, i+1)
+			s.read(n, name, true)
+		}
+	})
 }
 
 // setDown starts or ends an outage of the platform. Pending watches fail when it
@@ -187,7 +206,7 @@
 	s.writes++
 	s.count("swap", name, 1+min(int(lease), 1))
 	status, current := jackdawbridge.StoreFailed, uint64(0)
-	delay := storeTimeout
+	delay := s.failDelay()
 	switch {
 	case s.unreachable(n):
 	case s.records[name].Version() != version:
--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -166,7 +166,7 @@
 	if m.Since() > 0 {
 		changed = m.Entries()
 	}
-	p.adopt(s, table, changed)
+	p.adopt(s, table, changed, "peer", from.Node())
 }
 
 // merged returns the table that results from a delta.
