reducer: each node keeps its tables confirmed within the limit for changes

Cause: nothing derived the age of a table from the limit. Two nodes of a data centre read the tables; four others took over after two read intervals (3 s in deploy/system.toml, with a limit of 2 s), and all others never read. A read that hung held up the next one for as long as the call took to fail.

Evidence, by the new script reducer/testdata/apply-limit on the code before, in a data centre of 24 nodes: a node that is cut off from its peers and not from the platform has the change not after 20 s ('a13 has keys revision 1 in force, want 2'), nor has any node when the 8 of lowest rank are turned away ('a0 has keys revision 2 in force, want 3'). The other cases of the script passed before.

A node now reads the tables itself before its last confirmation is as old as the limit (--apply-limit, from the platform's configApplyMs). Usually only the member of lowest rank does: the others get its confirmation along a tree of probes. A read asks only for changes, and one without an answer does not hold up the next. The push of confirmations for accounts with unconfirmed: refuse is gone, since every node has a fresh one.

checkApplied requires the limit of every node that reaches the platform, in all scripts and in TestRandomFaults, half of whose runs have a limit of 2 s. With the reads of the higher ranks taken out it fails there after 182 runs ('a2 has keys revision 1 in force 2000 ms after the change, want 2'); 2,000 runs pass.

TestMembershipCost: 3.6 to 6.5 messages a node and second, bound 11. TestPlatformRequestsPerChange: 93 and 122, bound 123.

--- a/behaviour.go
+++ b/behaviour.go
@@ -15,6 +15,9 @@
 	// Load reads a record. A record that does not exist has version 0. The error is
 	// ErrInvalid if the value of the record cannot be decoded or is not valid.
 	Load(ctx context.Context, name RecordName) (Record, error)
+	// Check is Load for a caller that has the record at the given version. If the
+	// record still has that version, it returns an unchanged record without its value.
+	Check(ctx context.Context, name RecordName, version uint64) (Record, error)
 	// Scan reads all records whose names begin with a prefix. A record that cannot be
 	// decoded or is not valid has a version and no value.
 	Scan(ctx context.Context, prefix RecordName) ([]Record, error)
--- a/cmd/jackdawbridge/change_test.go
+++ b/cmd/jackdawbridge/change_test.go
@@ -23,6 +23,11 @@
 	return s.record, nil
 }
 
+// Check returns the record. The commands under test do not use it.
+func (s *faultyStore) Check(ctx context.Context, name jackdawbridge.RecordName, _ uint64) (jackdawbridge.Record, error) {
+	return s.Load(ctx, name)
+}
+
 // Scan returns the record. The commands under test do not use it.
 func (s *faultyStore) Scan(context.Context, jackdawbridge.RecordName) ([]jackdawbridge.Record, error) {
 	return []jackdawbridge.Record{s.record}, nil
--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -79,7 +79,8 @@
 	BackendIdle    time.Duration `default:"30s" help:"Idle timeout of connections to the backend server."`
 	DrainPeriod    time.Duration `default:"3s" help:"Time after the start of draining by which a backend server receives no more requests."`
 	GracePeriod    time.Duration `default:"30s" help:"Time within which a stopping node exits, even if requests are unfinished."`
-	Confirm        time.Duration `default:"15s" help:"Interval at which a node that watches the platform reads the tables again."`
+	ApplyLimit     time.Duration `default:"10s" help:"Time within which a change of the tables is in force at each node that reaches the platform or its peers."`
+	Confirm        time.Duration `default:"30s" help:"Interval at which the tables are read in full, even if the platform reports no change."`
 	Limiter        string        `default:"adaptive" enum:"adaptive,slots" help:"How the concurrency of the backend server is limited: adaptive, by its latency, or slots, by the slots that it announces."`
 	RetryPermille  int           `default:"200" help:"Retry budget: retries to another backend server for each thousand calls of a service."`
 	RetryBurst     int           `default:"10" help:"Maximum number of unused retries of a service that a node accumulates."`
@@ -141,6 +142,7 @@
 	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
 	options := reducer.NewOptions(self, seed, picker.NewObserved(), c.newLimiter(), queue.NewPriority(queueSize)).
 		WithDrainPeriod(jackdawbridge.Millis((c.DrainPeriod * drainPercent / 100).Milliseconds())).
+		WithApplyLimit(jackdawbridge.Millis(c.ApplyLimit.Milliseconds())).
 		WithConfirmInterval(jackdawbridge.Millis(c.Confirm.Milliseconds())).
 		WithRetryBudget(c.RetryPermille, c.RetryBurst).
 		WithStopLimit(jackdawbridge.Millis((c.GracePeriod / 2).Milliseconds()))
@@ -305,6 +307,7 @@
 		{"idle", c.Idle, time.Second},
 		{"heartbeat", c.Heartbeat, 100 * time.Millisecond},
 		{"backend-idle", c.BackendIdle, 10 * time.Millisecond},
+		{"apply-limit", c.ApplyLimit, time.Second},
 		{"confirm", c.Confirm, 100 * time.Millisecond},
 		{"drain-period", c.DrainPeriod, 0},
 		{"grace-period", c.GracePeriod, c.Linger},
--- a/effect.go
+++ b/effect.go
@@ -111,6 +111,21 @@
 // Name returns the name of the record.
 func (l *Load) Name() RecordName { return l.name }
 
+// LoadTables reads both tables from the platform. Its result arrives as a TablesLoaded
+// event.
+type LoadTables struct {
+	config, keys uint64 // versions of the records that the node has, 0 to read them in full
+}
+
+// Known returns the version that the node has of the record of a table. It is 0 if the
+// record is to be read in full, even if it has not changed.
+func (l *LoadTables) Known(name RecordName) uint64 {
+	if name == KeysTable {
+		return l.keys
+	}
+	return l.config
+}
+
 // Scan reads all records whose names begin with a prefix. The result is a StoreScanned
 // event.
 type Scan struct{ prefix RecordName }
@@ -163,18 +178,19 @@
 // have been taken over or the time limit for its shutdown has passed.
 type Exit struct{}
 
-func (*Forward) effect() {}
-func (*Run) effect()     {}
-func (*Deliver) effect() {}
-func (*Refuse) effect()  {}
-func (*Cancel) effect()  {}
-func (*Send) effect()    {}
-func (*Load) effect()    {}
-func (*Scan) effect()    {}
-func (*Watch) effect()   {}
-func (*Swap) effect()    {}
-func (*Log) effect()     {}
-func (*Exit) effect()    {}
+func (*Forward) effect()    {}
+func (*Run) effect()        {}
+func (*Deliver) effect()    {}
+func (*Refuse) effect()     {}
+func (*Cancel) effect()     {}
+func (*Send) effect()       {}
+func (*Load) effect()       {}
+func (*LoadTables) effect() {}
+func (*Scan) effect()       {}
+func (*Watch) effect()      {}
+func (*Swap) effect()       {}
+func (*Log) effect()        {}
+func (*Exit) effect()       {}
 
 func (*Acknowledge) effect() {}
 
@@ -263,6 +279,11 @@
 	e.list = append(e.list, l)
 }
 
+// LoadTables adds a LoadTables effect.
+func (e *Effects) LoadTables(config, keys uint64) {
+	e.list = append(e.list, &LoadTables{config: config, keys: keys})
+}
+
 // Scan adds a Scan effect.
 func (e *Effects) Scan(prefix RecordName) { e.list = append(e.list, &Scan{prefix: prefix}) }
 
--- a/event.go
+++ b/event.go
@@ -330,6 +330,28 @@
 // Record returns the record, if the status is StoreOK.
 func (e *StoreLoaded) Record() Record { return e.record }
 
+// TablesLoaded is the result of a LoadTables effect.
+type TablesLoaded struct {
+	eventTime
+	started Millis // when the read began
+	status  StoreStatus
+	records []Record // of both tables, if StoreOK; one that cannot be decoded has a version and no value
+}
+
+// NewTablesLoaded returns the result of a LoadTables that began at the given time.
+func NewTablesLoaded(at, started Millis, status StoreStatus, records []Record) *TablesLoaded {
+	return &TablesLoaded{eventTime: eventTime{at}, started: started, status: status, records: records}
+}
+
+// Started returns when the read began. The platform had the records then or later.
+func (e *TablesLoaded) Started() Millis { return e.started }
+
+// Status returns the result of the read.
+func (e *TablesLoaded) Status() StoreStatus { return e.status }
+
+// Records returns the records of both tables, if the status is StoreOK.
+func (e *TablesLoaded) Records() []Record { return e.records }
+
 // StoreScanned is the result of a Scan effect.
 type StoreScanned struct {
 	eventTime
--- a/node/node.go
+++ b/node/node.go
@@ -236,6 +236,8 @@
 		n.send(e.To(), e.Frame())
 	case *jackdawbridge.Load:
 		go n.loadRecord(e.Name())
+	case *jackdawbridge.LoadTables:
+		go n.loadTables(e)
 	case *jackdawbridge.Scan:
 		go n.scanRecords(e.Prefix())
 	case *jackdawbridge.Watch:
--- a/node/store.go
+++ b/node/store.go
@@ -24,6 +24,48 @@
 	n.apply(n.loadedEvent(name, record, err))
 }
 
+// loadTables reads both tables and reports them to the reducer.
+func (n *Node) loadTables(e *jackdawbridge.LoadTables) {
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	started := n.now()
+	records, err := n.readTables(ctx, e)
+	n.apply(jackdawbridge.NewTablesLoaded(n.now(), started, storeStatus(err), records))
+}
+
+// readTables returns the records of both tables. One that cannot be decoded has no
+// value.
+func (n *Node) readTables(ctx context.Context, e *jackdawbridge.LoadTables) ([]jackdawbridge.Record, error) {
+	config, err := n.readTable(ctx, e, jackdawbridge.ConfigTable)
+	if err != nil {
+		return nil, err
+	}
+	// A store that has both tables in one item returns them together.
+	if len(config.Companions()) > 0 {
+		return append([]jackdawbridge.Record{config}, config.Companions()...), nil
+	}
+	keys, err := n.readTable(ctx, e, jackdawbridge.KeysTable)
+	if err != nil {
+		return nil, err
+	}
+	return []jackdawbridge.Record{config, keys}, nil
+}
+
+func (n *Node) readTable(ctx context.Context, e *jackdawbridge.LoadTables, name jackdawbridge.RecordName) (jackdawbridge.Record, error) {
+	var record jackdawbridge.Record
+	var err error
+	if known := e.Known(name); known > 0 {
+		record, err = n.deps.store.Check(ctx, name, known)
+	} else {
+		record, err = n.deps.store.Load(ctx, name)
+	}
+	n.countStoreCall(name, err)
+	if errors.Is(err, jackdawbridge.ErrInvalid) {
+		return record, nil
+	}
+	return record, err
+}
+
 // scanRecords reads the records with a prefix and reports them to the reducer.
 func (n *Node) scanRecords(prefix jackdawbridge.RecordName) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
--- a/record.go
+++ b/record.go
@@ -34,9 +34,11 @@
 
 // Record is a value as read from the platform's store.
 type Record struct {
-	name    RecordName
-	version uint64 // assigned by the platform; 0 if the record does not exist
-	value   Value  // nil if the record does not exist
+	name       RecordName
+	version    uint64   // assigned by the platform; 0 if the record does not exist
+	value      Value    // nil if the record does not exist or is unchanged
+	unchanged  bool     // the record has the version that the reader named
+	companions []Record // other records of the same item of the platform, read with this one
 }
 
 // NewRecord returns a record read at the given version.
@@ -44,6 +46,24 @@
 	return Record{name: name, version: version, value: value}
 }
 
+// NewUnchangedRecord returns a record that still has the version that its reader named.
+func NewUnchangedRecord(name RecordName, version uint64) Record {
+	return Record{name: name, version: version, unchanged: true}
+}
+
+// WithCompanions returns r with other records that the platform holds in the same item,
+// so that they are of the same state.
+func (r Record) WithCompanions(companions ...Record) Record {
+	r.companions = companions
+	return r
+}
+
+// Unchanged reports whether r still has the version that its reader named.
+func (r Record) Unchanged() bool { return r.unchanged }
+
+// Companions returns the records of the same item that were read with r.
+func (r Record) Companions() []Record { return r.companions }
+
 // Name returns the name of r.
 func (r Record) Name() RecordName { return r.name }
 
--- a/reducer/capacity_test.go
+++ b/reducer/capacity_test.go
@@ -72,7 +72,7 @@
 		panic(err)
 	}
 	record := jackdawbridge.NewRecord(jackdawbridge.KeysTable, 1000, table)
-	p.apply(p.entry, jackdawbridge.NewStoreLoaded(p.at, jackdawbridge.KeysTable, jackdawbridge.StoreOK, record))
+	p.apply(p.entry, jackdawbridge.NewTablesLoaded(p.at, p.at, jackdawbridge.StoreOK, []jackdawbridge.Record{record}))
 }
 
 func fillMembers(p *callPath, n int) {
--- a/reducer/cost_test.go
+++ b/reducer/cost_test.go
@@ -44,9 +44,8 @@
 	if _, err := h.configure("account a 1000 1000 one:1000\nroute s / high idempotent\nkey k a"); err != nil {
 		tb.Fatal(err)
 	}
-	for _, name := range []jackdawbridge.RecordName{jackdawbridge.ConfigTable, jackdawbridge.KeysTable} {
-		p.entry.Apply(jackdawbridge.NewStoreLoaded(p.at, name, jackdawbridge.StoreOK, h.store.records[name]), &p.fx)
-	}
+	records := []jackdawbridge.Record{h.store.records[jackdawbridge.ConfigTable], h.store.records[jackdawbridge.KeysTable]}
+	p.entry.Apply(jackdawbridge.NewTablesLoaded(p.at, p.at, jackdawbridge.StoreOK, records), &p.fx)
 	for range 10 {
 		p.at += jackdawbridge.Second
 		p.entry.Apply(jackdawbridge.NewTick(p.at), &p.fx)
--- a/reducer/fleet_test.go
+++ b/reducer/fleet_test.go
@@ -181,6 +181,7 @@
 // force, or restores the newest table if the state is "good".
 func (h *harness) setRecordState(name jackdawbridge.RecordName, state string) (string, error) {
 	h.store.unreadable = ""
+	h.store.damagedAt = h.now
 	current := h.published[name]
 	switch state {
 	case "older":
@@ -267,6 +268,18 @@
 	return names
 }
 
+// lowestRanks returns the running nodes of a data centre whose rank by the hash of their
+// names is below the given one.
+func (h *harness) lowestRanks(dc jackdawbridge.DataCentre, below int) []string {
+	var names []string
+	for _, name := range h.nodeNames {
+		if n := h.nodes[name]; n.up() && n.peer.DataCentre() == dc && n.reducer.members.hashRank < below {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // oldestConfirmation returns the age of the oldest confirmation of the tables at a
 // running node. It returns a fixed text for ages below half of unconfirmedLimit, so
 // that scripts need not state a number.
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -128,6 +128,7 @@
 	previous         map[jackdawbridge.RecordName]*jackdawbridge.Table // revision before the newest
 	onChange         func(name jackdawbridge.RecordName, revision uint64, entries []jackdawbridge.Entry)
 	lastFaultChange  jackdawbridge.Millis               // when a fault last began or ended
+	nodeFaults       map[string]jackdawbridge.Millis    // when a node was last started, or kept from running or from the platform
 	clockSkews       map[string]jackdawbridge.Millis    // of the clocks of new processes
 	messageDelays    map[[2]string]jackdawbridge.Millis // of messages, one way: from, to
 	droppedMessages  map[string]bool                    // messages to drop, by type and receiver
@@ -169,6 +170,7 @@
 		droppedMessages: make(map[string]bool),
 		messageDelays:   make(map[[2]string]jackdawbridge.Millis),
 		clockSkews:      make(map[string]jackdawbridge.Millis),
+		nodeFaults:      make(map[string]jackdawbridge.Millis),
 		strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
 			return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(64)
 		},
@@ -231,6 +233,7 @@
 	}
 	h.nodes[name] = n
 	h.lastFaultChange = h.now
+	h.nodeFaults[name] = h.now
 	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewTick(at) })
 	return n
 }
@@ -249,6 +252,8 @@
 			options = options.WithDrainPeriod(jackdawbridge.Millis(n))
 		case "stop":
 			options = options.WithStopLimit(jackdawbridge.Millis(n))
+		case "apply":
+			options = options.WithApplyLimit(jackdawbridge.Millis(n))
 		case "confirm":
 			options = options.WithConfirmInterval(jackdawbridge.Millis(n))
 		case "retries":
@@ -324,6 +329,9 @@
 	case *jackdawbridge.Load:
 		n.storeRequests++
 		n.h.store.load(n, e.Name())
+	case *jackdawbridge.LoadTables:
+		n.storeRequests += 2
+		n.h.store.loadTables(n, e)
 	case *jackdawbridge.Scan:
 		n.storeRequests++
 		n.h.store.scan(n, e.Prefix())
@@ -521,6 +529,7 @@
 	n := h.nodes[name]
 	n.frozen = true
 	h.lastFaultChange = h.now
+	h.nodeFaults[name] = h.now + span
 	h.after(span, func() {
 		h.lastFaultChange = h.now
 		n.frozen = false
--- a/reducer/invariant_test.go
+++ b/reducer/invariant_test.go
@@ -138,6 +138,29 @@
 		}
 	}
 	c.h.after(spreadLimit, func() { c.checkInForce(name, revision) })
+	published := c.h.now
+	c.h.after(c.applyLimit(), func() { c.checkApplied(name, revision, published) })
+}
+
+// applyLimit returns the limit that the nodes are given.
+func (c *invariantCheckers) applyLimit() jackdawbridge.Millis {
+	return c.h.applyOptions(Options{applyLimit: defaultApplyLimit}).applyLimit
+}
+
+// checkApplied reports a node that does not have a change in force at the end of its
+// limit, although it ran and reached the platform all the while and before, whatever the
+// state of its peers and of its links to them.
+func (c *invariantCheckers) checkApplied(name jackdawbridge.RecordName, revision uint64, published jackdawbridge.Millis) {
+	if c.h.store.down || c.h.store.damaged() || c.h.store.damagedAt >= published || c.h.store.extraDelay > 0 {
+		return
+	}
+	for _, node := range c.h.nodeNames {
+		n := c.h.nodes[node]
+		unfit := !n.up() || c.h.store.cut[node] || c.h.nodeFaults[node] > published-c.applyLimit()
+		if got := n.reducer.settings.revision(name); !unfit && got < revision {
+			c.report("%s has %s revision %d in force %d ms after the change, want %d", node, name, got, c.h.now-published, revision)
+		}
+	}
 }
 
 // checkWithdrawn reports a process that admits a key although the revision in force
--- a/reducer/matrix_test.go
+++ b/reducer/matrix_test.go
@@ -233,6 +233,8 @@
 		counts = m.counts(label)
 	case *jackdawbridge.StoreLoaded:
 		counts = !e.Watch() || slices.Contains(m.also, "Watch")
+	case *jackdawbridge.TablesLoaded:
+		counts = slices.Contains(m.also, "Watch")
 	default:
 		counts = true
 	}
@@ -248,7 +250,7 @@
 func (m *matrixRun) effect(n *fakeNode, e jackdawbridge.Effect) {
 	m.checks.effect(n, e)
 	switch e := e.(type) {
-	case *jackdawbridge.Log, *jackdawbridge.Load, *jackdawbridge.Watch:
+	case *jackdawbridge.Log, *jackdawbridge.Load, *jackdawbridge.LoadTables, *jackdawbridge.Watch:
 		return
 	case *jackdawbridge.Swap:
 		seed := isSeed(e.Name())
--- a/reducer/membership.go
+++ b/reducer/membership.go
@@ -1,7 +1,9 @@
 package reducer
 
 import (
+	"cmp"
 	"math/bits"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
@@ -83,9 +85,10 @@
 	failed      memberList                                              // dead because they answered no probe; exit not proven
 	expiry      heap.Heap[jackdawbridge.Instance, jackdawbridge.Millis] // when each dead member is dropped
 	services    serviceIndex
-	liveChanged bool // the set of live members changed in this step
-	hashRank    int  // number of live members whose instance name has a lower hash
-	replaced    bool // a newer process has this node's instance name
+	liveChanged bool    // the set of live members changed in this step
+	hashRank    int     // number of live members whose instance name has a lower hash
+	relayFrom   *member // member from which this node requests confirmations of the tables, nil if unknown or none
+	replaced    bool    // a newer process has this node's instance name
 	prober      prober
 	rumors      rumors
 	seeds       seeds
@@ -214,6 +217,21 @@
 	return lower
 }
 
+// parent returns the member from which this node requests confirmations of the tables:
+// its parent in a tree in which the members are ordered by the hashes of their instance
+// names, and each has relayFanout children. The root has none.
+func (p *members) parent() (jackdawbridge.Peer, bool) {
+	if p.hashRank == 0 || len(p.live) == 0 {
+		return jackdawbridge.Peer{}, false
+	}
+	if p.relayFrom == nil {
+		hash := func(m *member) uint64 { return xxhash.Sum64String(string(m.peer.Node().Instance())) }
+		sorted := slices.SortedFunc(slices.Values(p.live), func(a, b *member) int { return cmp.Compare(hash(a), hash(b)) })
+		p.relayFrom = sorted[(p.hashRank-1)/relayFanout]
+	}
+	return p.relayFrom.peer, true
+}
+
 // draw returns a random number in [0, n).
 func (p *members) draw(n int) int { return int(p.r.random.Uint64() % uint64(n)) }
 
@@ -449,7 +467,7 @@
 	}
 	if p.liveChanged {
 		p.liveChanged = false
-		p.hashRank = p.countLowerHashes()
+		p.hashRank, p.relayFrom = p.countLowerHashes(), nil
 		p.r.authority.membershipChanged()
 	}
 }
--- a/reducer/random_faults_test.go
+++ b/reducer/random_faults_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/jackdawbridge/jackdawbridge"
 	"pgregory.net/rapid"
 )
@@ -44,7 +45,11 @@
 	if _, err := h.configure("account atlas 100 100 one:500,two:500 refuse\nroute balancedesk /balance high idempotent\nkey k0 atlas"); err != nil {
 		t.Fatal(err)
 	}
-	h.startFleet("a", "one", rapid.IntRange(2, 10).Draw(t, "nodes in one"), "balancedesk", "")
+	nodes := rapid.IntRange(2, 10).Draw(t, "nodes in one")
+	if nodes%2 == 0 { // in half of the runs a change must be in force sooner
+		h.options = append(h.options, datadriven.CmdArg{Key: "apply", Vals: []string{"2000"}})
+	}
+	h.startFleet("a", "one", nodes, "balancedesk", "")
 	h.startFleet("b", "two", rapid.IntRange(2, 4).Draw(t, "nodes in two"), "balancedesk", "")
 	h.run(10 * jackdawbridge.Second)
 	return f
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -28,18 +28,19 @@
 
 // Options configures a Reducer.
 type Options struct {
-	self                jackdawbridge.Peer   // this node
-	joins               []jackdawbridge.Peer // addresses of peers to join, from the command line
-	seed                [32]byte             // seed of the random source; secret, because run tokens are drawn from it
-	picker              jackdawbridge.Picker
-	limiter             jackdawbridge.Limiter
-	queue               jackdawbridge.Queue
-	floors              bool                 // the node admits a part of an account's rate while no holder of a range answers
-	drain               jackdawbridge.Millis // how long a draining backend server or node still accepts requests
-	idleConfirmInterval jackdawbridge.Millis // time between two reads of the tables by a watcher while no account requires confirmed tables
-	retryBudget         retryBudgets         // permille and burst only, without balances
-	stopLimit           jackdawbridge.Millis // how long a stopping node accepts new calls
-	firstStart          bool                 // no process of the fleet ran before
+	self             jackdawbridge.Peer   // this node
+	joins            []jackdawbridge.Peer // addresses of peers to join, from the command line
+	seed             [32]byte             // seed of the random source; secret, because run tokens are drawn from it
+	picker           jackdawbridge.Picker
+	limiter          jackdawbridge.Limiter
+	queue            jackdawbridge.Queue
+	floors           bool                 // the node admits a part of an account's rate while no holder of a range answers
+	drain            jackdawbridge.Millis // how long a draining backend server or node still accepts requests
+	applyLimit       jackdawbridge.Millis // time within which a change of the tables must be in force
+	fullReadInterval jackdawbridge.Millis // time between two reads of the tables in full
+	retryBudget      retryBudgets         // permille and burst only, without balances
+	stopLimit        jackdawbridge.Millis // how long a stopping node accepts new calls
+	firstStart       bool                 // no process of the fleet ran before
 }
 
 // NewOptions returns the options of a node with the given strategies.
@@ -47,7 +48,7 @@
 	self jackdawbridge.Peer, seed [32]byte,
 	picker jackdawbridge.Picker, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue,
 ) Options {
-	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue, drain: defaultDrainPeriod, stopLimit: defaultStopLimit, idleConfirmInterval: defaultIdleConfirmInterval, retryBudget: newRetryBudgets()}
+	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue, drain: defaultDrainPeriod, stopLimit: defaultStopLimit, applyLimit: defaultApplyLimit, fullReadInterval: defaultFullReadInterval, retryBudget: newRetryBudgets()}
 }
 
 // WithFloors returns o for a node that admits a part of an account's rate on its
@@ -72,11 +73,18 @@
 	return o
 }
 
-// WithConfirmInterval returns o with the time between two reads of the tables by a
-// watcher while no account requires confirmed tables. It bounds how long a change
-// goes unnoticed when watches deliver nothing.
+// WithApplyLimit returns o with the time within which a change of the tables must be in
+// force at each node that reaches the platform or its peers.
+func (o Options) WithApplyLimit(span jackdawbridge.Millis) Options {
+	o.applyLimit = span
+	return o
+}
+
+// WithConfirmInterval returns o with the time between two reads of the tables in full.
+// The reads between them ask only for changes, and miss those of which the platform
+// has lost the history.
 func (o Options) WithConfirmInterval(span jackdawbridge.Millis) Options {
-	o.idleConfirmInterval = span
+	o.fullReadInterval = span
 	return o
 }
 
@@ -144,7 +152,7 @@
 	r.once = newAtMostOnce(r)
 	r.members = newMembers(r, options.joins)
 	r.settings = newSettings(r)
-	r.settings.idleInterval = options.idleConfirmInterval
+	r.settings.reader.limit, r.settings.reader.fullInterval = options.applyLimit, options.fullReadInterval
 	r.authority = newAuthority(r)
 	r.quarantine = newQuarantine(r)
 	r.drain = newDrain(r, options.drain, options.stopLimit)
@@ -185,6 +193,8 @@
 		r.members.connectionRefused(e.Node())
 	case *jackdawbridge.StoreLoaded:
 		r.loaded(e)
+	case *jackdawbridge.TablesLoaded:
+		r.settings.tablesLoaded(e)
 	case *jackdawbridge.StoreScanned:
 		r.members.seedsScanned(e)
 	case *jackdawbridge.StoreSwapped:
@@ -314,7 +324,7 @@
 func (r *Reducer) loaded(e *jackdawbridge.StoreLoaded) {
 	switch {
 	case isTable(e.Name()):
-		r.settings.loaded(e)
+		r.settings.watched(e)
 	case isSeed(e.Name()):
 		r.members.seedLoaded(e)
 	case isDeparture(e.Name()):
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -124,6 +124,8 @@
 		}
 	case "cut-watchers":
 		h.store.cutOff(h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))), true)
+	case "cut-ranks":
+		h.store.cutOff(h.lowestRanks(jackdawbridge.DataCentre(arg(d, "dc", "one")), intArg(d, "below", 0)), true)
 	case "kill-watchers":
 		for _, name := range h.watchers(jackdawbridge.DataCentre(arg(d, "dc", "one"))) {
 			h.kill(name)
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -19,20 +19,14 @@
 	// and has peers. The watchers among them send the table when there is one.
 	missingTableInterval = 5 * jackdawbridge.Second
 	// watchers is the number of members of a data centre that watch the platform's
-	// tables.
+	// tables, so that a change spreads at once.
 	watchers = 2
-	// backupWatchers is the number of members that watch the platform, the regular
-	// watchers included, while a confirmation of the tables is overdue: the regular
-	// watchers may be cut off from the platform.
-	backupWatchers = 6
-	// confirmInterval is the time between two reads of a table by a watcher while
-	// some account requires confirmed tables. Two reads may fail within
-	// unconfirmedLimit.
-	confirmInterval = 3 * jackdawbridge.Second
-	// defaultIdleConfirmInterval is the default time between two reads while no account
-	// requires confirmed tables. The reads are then needed only in case the answer
-	// to a watch was lost.
-	defaultIdleConfirmInterval = 15 * jackdawbridge.Second
+	// defaultApplyLimit is the default time within which a change of the tables must be
+	// in force.
+	defaultApplyLimit = 10 * jackdawbridge.Second
+	// defaultFullReadInterval is the default time between two reads of the tables in
+	// full. The reads between them only check whether the tables have changed.
+	defaultFullReadInterval = 30 * jackdawbridge.Second
 	// unconfirmedLimit is the age of the last confirmation above which accounts
 	// that require confirmed tables are refused.
 	unconfirmedLimit = 10 * jackdawbridge.Second
@@ -66,13 +60,9 @@
 	table        *jackdawbridge.Table // nil until one has been loaded; its revision never falls
 	version      uint64               // version of the platform's record when last read
 	versionValid bool                 // version has been set by a successful read
-	loading      bool                 // a Load is pending
+	readRevision uint64               // revision of the table in the record of that version, 0 if it was refused
 	watching     bool                 // a Watch is pending
-	loadSent     jackdawbridge.Millis // when the last Load was sent
-	loadDue      jackdawbridge.Millis // time of the next Load
 	watchDue     jackdawbridge.Millis // time of the next Watch
-	retryWait    jackdawbridge.Millis // mean time from the next failure to the call after it
-	loadEnded    bool                 // a Load has succeeded or failed since the start or the last freeze
 	confirmed    jackdawbridge.Millis // latest time at which the platform is proven to have had no newer revision, 0 if none
 	refusal      string               // why a table was last refused, so that this is logged once
 	newest       uint64               // newest revision that a peer reported
@@ -91,22 +81,22 @@
 
 // settings is the part that keeps the configuration and key tables up to date.
 type settings struct {
-	r            *Reducer
-	config       tableState
-	keys         tableState
-	index        index
-	gossip       tableGossip
-	idleInterval jackdawbridge.Millis // time between two reads by a watcher while no account requires confirmed tables
+	r      *Reducer
+	config tableState
+	keys   tableState
+	index  index
+	gossip tableGossip
+	reader tableReader
 }
 
 func newSettings(r *Reducer) settings {
 	return settings{
-		r:            r,
-		config:       tableState{name: jackdawbridge.ConfigTable, retryWait: storeRetry},
-		keys:         tableState{name: jackdawbridge.KeysTable, retryWait: storeRetry},
-		index:        newIndex(),
-		gossip:       newTableGossip(r.now),
-		idleInterval: defaultIdleConfirmInterval,
+		r:      r,
+		config: tableState{name: jackdawbridge.ConfigTable},
+		keys:   tableState{name: jackdawbridge.KeysTable},
+		index:  newIndex(),
+		gossip: newTableGossip(r.now),
+		reader: newTableReader(),
 	}
 }
 
@@ -133,7 +123,7 @@
 	waited := p.r.now - p.gossip.waitStart
 	behind := p.config.newest > p.config.revision() || p.keys.newest > p.keys.revision()
 	// After a freeze, a peer's report replaces the reads of the tables and seed records.
-	sourcesAnswered := p.config.loadEnded && p.keys.loadEnded && p.r.members.seeds.scanned || p.gossip.afterFreeze && len(p.gossip.reporters) > 0
+	sourcesAnswered := p.reader.ended && p.r.members.seeds.scanned || p.gossip.afterFreeze && len(p.gossip.reporters) > 0
 	enoughReporters := len(p.gossip.reporters) >= min(readyPeers, len(p.r.members.live))
 	peersExpected := len(p.r.members.live) > 0 || len(p.r.members.seeds.joins) > 0 || p.r.members.seeds.foundOther
 	noLivePeer := peersExpected && len(p.r.members.live) == 0
@@ -197,66 +187,64 @@
 	return &p.config
 }
 
-// loaded handles the result of a Load or Watch of a table, and puts the table in force
-// if it is newer than the present one. Only a Load confirms a table, as of the time
-// when it was sent: for a Watch it is unknown when the platform answered.
-func (p *settings) loaded(e *jackdawbridge.StoreLoaded) {
+// tables returns the states of both tables.
+func (p *settings) tables() [2]*tableState { return [2]*tableState{&p.config, &p.keys} }
+
+// watched handles the result of a Watch of a table. It confirms nothing, since it is
+// unknown when the platform answered.
+func (p *settings) watched(e *jackdawbridge.StoreLoaded) {
 	s := p.state(e.Name())
-	if e.Watch() {
-		s.watching = false
-		s.watchDue = p.r.now
-	} else {
-		s.loading = false
-		s.loadEnded = true
-		s.loadDue = p.r.now + p.readInterval()
+	s.watching = false
+	s.watchDue = p.r.now
+	switch e.Status() {
+	case jackdawbridge.StoreOK:
+		p.recordRead(s, e.Record(), "watch")
+		for _, record := range e.Record().Companions() {
+			p.recordRead(p.state(record.Name()), record, "watch")
+		}
+	case jackdawbridge.StoreInvalid:
+		p.recordRead(s, e.Record(), "watch")
+		s.watchDue = p.r.now + p.r.members.jitter(storeRetry)
+	default:
+		p.refuse(s, unanswered, 0)
+		s.watchDue = p.r.now + p.r.members.jitter(storeRetry)
 	}
-	if e.Status() != jackdawbridge.StoreOK {
-		p.failed(s, e.Status())
-		return
+}
+
+// unanswered is the text to log when a call to the platform failed.
+const unanswered = "table in force not replaced: the platform did not answer"
+
+// recordRead handles the record of a table that was read from the platform, and puts the
+// table in force if it is newer than the present one. It reports whether the platform
+// had no newer table than the one that is in force then.
+func (p *settings) recordRead(s *tableState, record jackdawbridge.Record, source string) bool {
+	if record.Unchanged() {
+		if s.table != nil && s.version == record.Version() && s.readRevision == s.revision() {
+			return true
+		}
+		s.readRevision = 0 // so that the next read is in full
+		return false
 	}
-	s.retryWait = storeRetry
-	s.versionValid = true
-	s.version = e.Record().Version()
-	table, reason := p.readable(s, e.Record())
+	s.version, s.versionValid, s.readRevision = record.Version(), true, 0
+	table, reason := p.readable(s, record)
 	if reason != "" {
-		if s.table == nil && !p.watches() {
-			s.loadDue = p.r.now + missingTableInterval
-		}
 		p.refuse(s, reason, int64(s.version))
-		return
+		return false
 	}
 	s.refusal = ""
-	source := "read"
-	if e.Watch() {
-		source = "watch"
-	}
+	s.readRevision = table.Revision()
 	p.adopt(s, table, nil, source, jackdawbridge.Node{})
-	if !e.Watch() && table.Revision() == s.revision() {
-		p.confirmAt(s, s.loadSent)
-	}
-}
-
-// failed schedules the next calls to the platform after one that failed. The wait
-// doubles with each failure only while this node has no table.
-func (p *settings) failed(s *tableState, status jackdawbridge.StoreStatus) {
-	if status == jackdawbridge.StoreInvalid {
-		p.refuse(s, "table in force not replaced: the platform's record is unreadable", 0)
-	} else {
-		p.refuse(s, "table in force not replaced: the platform did not answer", 0)
-	}
-	wait := p.r.members.jitter(s.retryWait)
-	s.loadDue, s.watchDue = p.r.now+wait, p.r.now+wait
-	s.retryWait = min(s.retryWait*2, maxStoreRetry)
-	if s.table != nil {
-		s.retryWait = storeRetry
-	}
+	return true
 }
 
 // readable returns the table in a record, or the text to log if it is refused.
 func (p *settings) readable(s *tableState, record jackdawbridge.Record) (*jackdawbridge.Table, string) {
 	table, ok := record.Value().(*jackdawbridge.Table)
-	if !ok {
+	switch {
+	case record.Version() == 0:
 		return nil, "table in force not replaced: the platform has no table"
+	case !ok:
+		return nil, "table in force not replaced: the platform's record is unreadable"
 	}
 	if err := checkEntries(s.name, table.Entries()); err != nil {
 		return nil, "table in force not replaced: the platform's table has entries that do not belong in it"
@@ -303,6 +291,12 @@
 	if s.table != nil && table.Revision() <= s.table.Revision() {
 		return
 	}
+	if s.table == nil { // the wait for a missing table is over
+		p.reader.due = p.r.now
+		if !from.IsZero() {
+			p.reader.due += p.r.members.jitter(p.limitPart(firstReadPermille))
+		}
+	}
 	s.table = table
 	if changed != nil {
 		p.index.update(changed)
@@ -319,28 +313,12 @@
 			p.r.members.remote.follow(dc)
 		}
 	}
-	// The table may have the first account that requires confirmed tables. The next
-	// read must then not wait for the end of the longer idle interval.
-	due := max(p.r.now, p.r.now-p.confirmedAge()+p.readInterval())
-	p.config.loadDue, p.keys.loadDue = min(p.config.loadDue, due), min(p.keys.loadDue, due)
 	p.gossip.roundsLeft, p.gossip.roundDue = roundCount, p.r.now
 }
 
-// watches reports whether this node is currently a watcher of the platform.
+// watches reports whether this node watches the tables.
 func (p *settings) watches() bool {
-	if p.r.members.starting() {
-		return false
-	}
-	rank := p.r.members.hashRank
-	return rank < watchers || rank < backupWatchers && p.confirmedAge() > 2*p.readInterval()
-}
-
-// readInterval returns the time between two reads of a table by a watcher.
-func (p *settings) readInterval() jackdawbridge.Millis {
-	if p.index.accountsRequiringConfirmation > 0 {
-		return confirmInterval
-	}
-	return p.idleInterval
+	return !p.r.members.starting() && p.r.members.hashRank < watchers
 }
 
 // resetAfterFreeze schedules new checks of the tables at peers and at the platform
@@ -348,24 +326,17 @@
 // the tables as up to date again.
 func (p *settings) resetAfterFreeze() {
 	p.gossip.restart(p.r.now)
-	for _, s := range []*tableState{&p.config, &p.keys} {
-		s.loadEnded = false
-		s.loadDue = p.r.now
-	}
+	p.reader.restart(p.r.now)
 }
 
 func (p *settings) wake() jackdawbridge.Millis {
-	return min(p.config.wake(p), p.keys.wake(p), p.gossip.wake())
+	return min(p.config.wake(p), p.keys.wake(p), p.nextRead(), p.gossip.wake())
 }
 
 func (s *tableState) wake(p *settings) jackdawbridge.Millis {
 	wake := never
-	watches := p.watches()
-	if !s.loading && (watches || !s.loadEnded || s.table == nil) {
-		wake = s.loadDue
-	}
-	if watches && !s.watching && s.versionValid {
-		wake = min(wake, s.watchDue)
+	if p.watches() && !s.watching && s.versionValid {
+		wake = s.watchDue
 	}
 	if s.newest > s.revision() {
 		wake = min(wake, s.pullDue)
@@ -377,6 +348,7 @@
 func (p *settings) tick() {
 	p.refresh(&p.config)
 	p.refresh(&p.keys)
+	p.tickReads()
 	p.tickGossip()
 	p.checkReady()
 }
@@ -385,16 +357,7 @@
 	if s.newest > s.revision() && p.r.now >= s.pullDue {
 		p.pullAgain(s)
 	}
-	watches := p.watches()
-	if watches && s.table == nil && s.retryWait == storeRetry {
-		s.loadDue = min(s.loadDue, s.loadSent+p.readInterval())
-	}
-	if !s.loading && p.r.now >= s.loadDue && (watches || !s.loadEnded || s.table == nil) {
-		s.loading = true
-		s.loadSent = p.r.now
-		p.r.fx.Load(s.name)
-	}
-	if watches && !s.watching && s.versionValid && p.r.now >= s.watchDue {
+	if p.watches() && !s.watching && s.versionValid && p.r.now >= s.watchDue {
 		s.watching = true
 		p.r.fx.Watch(s.name, s.version)
 	}
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -22,6 +22,7 @@
 	failAfter      jackdawbridge.Millis     // how long a call that cannot reach the platform takes to fail, 0 for storeTimeout
 	cut            map[string]bool          // nodes that cannot reach the platform
 	unreadable     jackdawbridge.RecordName // the record that cannot be read
+	damagedAt      jackdawbridge.Millis     // when a record was last damaged or repaired
 	tableHistory   []heldRevision           // in order of time
 	reads          int                      // including watches
 	watches        int
@@ -124,6 +125,41 @@
 	s.read(n, name, false)
 }
 
+// loadTables reads both tables in a call each, or checks them in one.
+func (s *fakeStore) loadTables(n *fakeNode, e *jackdawbridge.LoadTables) {
+	started, status, delay := s.h.now+n.clockSkew, jackdawbridge.StoreOK, storeDelay+s.extraDelay
+	check := e.Known(jackdawbridge.ConfigTable) > 0 && e.Known(jackdawbridge.KeysTable) > 0
+	if check {
+		s.reads++
+		s.count("check", "tables", 1)
+	}
+	var records []jackdawbridge.Record
+	for _, name := range []jackdawbridge.RecordName{jackdawbridge.ConfigTable, jackdawbridge.KeysTable} {
+		if !check {
+			s.reads++
+			s.count("load", name, 1)
+		}
+		record, ok := s.records[name]
+		switch {
+		case !ok:
+			record = jackdawbridge.NewRecord(name, 0, nil)
+		case s.unreadable == name:
+			record = jackdawbridge.NewRecord(name, record.Version(), nil)
+		case e.Known(name) == record.Version():
+			record = jackdawbridge.NewUnchangedRecord(name, record.Version())
+		}
+		records = append(records, record)
+	}
+	if s.unreachable(n) {
+		status, delay, records = jackdawbridge.StoreFailed, s.failDelay(), nil
+	}
+	s.h.after(delay, func() {
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewTablesLoaded(at, started, status, records)
+		})
+	})
+}
+
 func (s *fakeStore) scan(n *fakeNode, prefix jackdawbridge.RecordName) {
 	s.reads++
 	s.count("scan", prefix, 1)
@@ -193,6 +229,11 @@
 // setDown starts or ends an outage of the platform. Pending watches fail when it
 // starts.
 func (s *fakeStore) setDown(down bool) {
+	for name := range s.h.nodes {
+		if s.down || s.cut[name] {
+			s.h.nodeFaults[name] = s.h.now
+		}
+	}
 	s.down = down
 	s.h.lastFaultChange = s.h.now
 	waiting := s.pendingWatches
@@ -235,6 +276,9 @@
 		s.cut = make(map[string]bool)
 	}
 	for _, name := range names {
+		if s.cut[name] {
+			s.h.nodeFaults[name] = s.h.now
+		}
 		s.cut[name] = on
 	}
 	s.setDown(s.down)
--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -25,30 +25,22 @@
 	// no tombstones, which may have been dropped.
 	maxDeltaEntries = 256
 	maxDeltaSpan    = 512
-	// minConfirmGain is the least difference by which a confirmation must be newer than
-	// this node's last one for the node to request it from a peer, or to notify peers
-	// of it.
-	minConfirmGain = jackdawbridge.Second
 	// readyProbeInterval is the time between two rounds of probes that a node sends
 	// until its tables are up to date. After readyTimeout the rounds are readyTimeout
 	// apart.
 	readyProbeInterval = jackdawbridge.Second / 2
-	// confirmRequestInterval is the least time between two requests for a newer
-	// confirmation.
-	confirmRequestInterval = 200 * jackdawbridge.Millis(1)
 )
 
 // tableGossip is the state of the exchange of tables with peers.
 type tableGossip struct {
-	roundsLeft         int                             // rounds of RevisionNotice still to send: roundCount after a new revision, 1 after a confirmation
-	roundDue           jackdawbridge.Millis            // time of the next round
-	repairDue          jackdawbridge.Millis            // time of the next comparison with a random peer, 0 before the first
-	confirmRequestedAt jackdawbridge.Millis            // when a confirmation was last requested from a peer
-	waitStart          jackdawbridge.Millis            // start of the process, or end of the last freeze
-	readyProbeDue      jackdawbridge.Millis            // time of the next round of probes, until upToDate
-	afterFreeze        bool                            // waitStart is the end of a freeze, not the start of the process
-	upToDate           bool                            // the tables were found new enough since waitStart, or the wait timed out
-	reporters          map[jackdawbridge.Instance]bool // peers of this data centre that reported their revisions since waitStart, until upToDate
+	roundsLeft    int                             // rounds of RevisionNotice still to send, roundCount after a new revision
+	roundDue      jackdawbridge.Millis            // time of the next round
+	repairDue     jackdawbridge.Millis            // time of the next comparison with a random peer, 0 before the first
+	waitStart     jackdawbridge.Millis            // start of the process, or end of the last freeze
+	readyProbeDue jackdawbridge.Millis            // time of the next round of probes, until upToDate
+	afterFreeze   bool                            // waitStart is the end of a freeze, not the start of the process
+	upToDate      bool                            // the tables were found new enough since waitStart, or the wait timed out
+	reporters     map[jackdawbridge.Instance]bool // peers of this data centre that reported their revisions since waitStart, until upToDate
 }
 
 func newTableGossip(at jackdawbridge.Millis) tableGossip {
@@ -79,8 +71,7 @@
 	return wake
 }
 
-// observe handles the digest of a message, in which a peer reports its revisions and
-// the age of its last confirmation.
+// observe handles the digest of a message, in which a peer reports its revisions.
 func (p *settings) observe(from jackdawbridge.Peer, digest jackdawbridge.Digest) {
 	p.compare(&p.config, from, digest.Config())
 	p.compare(&p.keys, from, digest.Keys())
@@ -88,7 +79,6 @@
 	if sameCentre && !p.gossip.upToDate && !digest.MaybeStale() && len(p.gossip.reporters) < readyPeers {
 		p.gossip.reporters[from.Node().Instance()] = true
 	}
-	p.requestConfirmation(from, digest)
 }
 
 // compare pulls a revision from the peer that reports it, if the revision is newer
@@ -180,44 +170,24 @@
 	return s.table.Merge(m.Revision(), m.Change(), m.Entries())
 }
 
-// requestConfirmation probes a peer if, by its digest, the platform confirmed the
-// peer's tables later than this node's. The digest alone proves nothing, since its
-// frame may have been delayed. The answer to a probe is never older than the probe,
-// so the confirmation in it counts from the time when the probe was sent.
-func (p *settings) requestConfirmation(from jackdawbridge.Peer, digest jackdawbridge.Digest) {
-	if p.index.accountsRequiringConfirmation == 0 || digest.SinceConfirmed()+minConfirmGain > p.confirmedAge() || p.r.now-p.gossip.confirmRequestedAt < confirmRequestInterval {
-		return
-	}
-	p.gossip.confirmRequestedAt = p.r.now
-	p.r.members.sendProbe(from, pendingProbe{purpose: probeConfirm}, nil, relayTimeout)
-}
-
 // confirm handles the digest in a peer's answer to a probe; sent is when the probe
-// was sent. The platform confirmed the peer's revisions no earlier than sent minus
+// was sent. A digest in another message proves nothing, since it may have been delayed. The platform confirmed the peer's revisions no earlier than sent minus
 // the age in the digest. That confirms this node's tables too if they are as new.
 func (p *settings) confirm(sent jackdawbridge.Millis, digest jackdawbridge.Digest) {
-	if p.config.revision() < digest.Config() || p.keys.revision() < digest.Keys() || digest.SinceConfirmed() < 0 {
-		return
+	before := p.confirmedAge()
+	if p.config.revision() >= digest.Config() && p.keys.revision() >= digest.Keys() && digest.SinceConfirmed() >= 0 {
+		p.confirmAt(&p.config, sent-digest.SinceConfirmed())
+		p.confirmAt(&p.keys, sent-digest.SinceConfirmed())
 	}
-	p.confirmAt(&p.config, sent-digest.SinceConfirmed())
-	p.confirmAt(&p.keys, sent-digest.SinceConfirmed())
+	p.relayed(digest.SinceConfirmed(), p.confirmedAge() < before)
 }
 
-// confirmAt records that the platform confirmed a table at the given time. It
-// schedules a notice to peers if some account requires confirmed tables and the
-// confirmation of both tables became newer by minConfirmGain or more.
+// confirmAt records that the platform confirmed a table at the given time.
 func (p *settings) confirmAt(s *tableState, at jackdawbridge.Millis) {
-	if at <= s.confirmed {
-		return
-	}
-	before := p.confirmedAge()
-	s.confirmed = at
-	if p.index.accountsRequiringConfirmation > 0 && p.confirmedAge()+minConfirmGain <= before {
-		p.gossip.roundsLeft = max(p.gossip.roundsLeft, 1)
-	}
+	s.confirmed = max(s.confirmed, at)
 }
 
-// tickGossip notifies a few members of new revisions and confirmations, probes
+// tickGossip notifies a few members of new revisions, probes
 // members until the tables are up to date, and compares revisions with a random
 // member at intervals.
 func (p *settings) tickGossip() {
