--- a/standin/platform.go
+++ b/standin/platform.go
@@ -29,6 +29,7 @@
 type Control struct {
 	Down        bool             `json:"down"`            // close connections without an answer
 	DelayMillis int64            `json:"slow"`            // delay before a call is handled, in milliseconds
+	LateMillis  int64            `json:"late"`            // delay of the answer to a read after the item was read, in milliseconds
 	LoseAnswers int              `json:"lose"`            // number of the next changes that take effect but are not answered
 	Compact     bool             `json:"compact"`         // drop the history for watches, once
 	Calls       map[string]int64 `json:"calls,omitempty"` // number of calls by kind: get, watch, put (writes and leases); returned by GET only
@@ -112,7 +113,12 @@
 	p.mu.Lock()
 	item, ok := p.items[r.URL.Query().Get("key")]
 	item.StoreRevision = p.revision
+	late := time.Duration(p.control.LateMillis) * time.Millisecond
 	p.mu.Unlock()
+	select {
+	case <-time.After(late):
+	case <-r.Context().Done():
+	}
 	if !ok {
 		http.Error(w, "item does not exist", http.StatusNotFound)
 		return
