reducer: the two tables of a peer come into force together

Cause: the tables of keys and of configuration travel between nodes in messages of their own, and each came into force when it arrived. When one is lost, the node has half of a document until a later pull, 0.3 s or more.

A table from a peer waits for the other one that the peer had with it, as named in the digest of the same message. Reads and watches of the platform bring both tables of a document since, valid or invalid together.

--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -402,6 +402,9 @@
 		return
 	}
 	kind := strings.TrimPrefix(fmt.Sprintf("%T", frame.Message()), "*jackdawbridge.")
+	if delta, ok := frame.Message().(*jackdawbridge.TableDelta); ok && n.h.droppedMessages[kind+"/"+string(delta.Name())+" "+target.name] {
+		return
+	}
 	if n.h.droppedMessages[kind+" "+target.name] {
 		return
 	}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -287,7 +287,7 @@
 		r.settings.pullRequested(from, m)
 		r.authority.pullReceived(from, m)
 	case *jackdawbridge.TableDelta:
-		r.settings.deltaReceived(from, m)
+		r.settings.deltaReceived(from, frame.Digest(), m)
 	case *jackdawbridge.RangesUpdate:
 		r.authority.rangesReceived(from, m)
 	case *jackdawbridge.VoteRequest:
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -69,6 +69,19 @@
 	source       jackdawbridge.Peer   // the peer that first reported newest
 	pulls        int                  // number of repeated pulls of newest, at most maxPulls+1
 	pullDue      jackdawbridge.Millis // time of the next Pull, while newest is above this node's revision
+	held         heldTable            // a newer table that waits for its counterpart
+}
+
+// heldTable is a table from a peer that waits until the other table has the revision
+// that the peer had with it. Together they were in force there, so that a node never
+// decides by one table and an older state of the other.
+type heldTable struct {
+	table   *jackdawbridge.Table // nil if none is held, otherwise newer than the one in force
+	base    *jackdawbridge.Table // table in force to which changed applies
+	changed []jackdawbridge.Entry
+	from    jackdawbridge.Node   // the peer that sent it
+	needs   uint64               // revision of the other table
+	since   jackdawbridge.Millis // when it was first held
 }
 
 // revision returns the revision of the table in force, 0 if there is none.
@@ -79,6 +92,14 @@
 	return s.table.Revision()
 }
 
+// received returns the newest revision that this node has of the table, in force or held.
+func (s *tableState) received() uint64 {
+	if s.held.table != nil {
+		return max(s.held.table.Revision(), s.revision())
+	}
+	return s.revision()
+}
+
 // settings is the part that keeps the configuration and key tables up to date.
 type settings struct {
 	r      *Reducer
@@ -284,6 +305,47 @@
 	return nil
 }
 
+// other returns the state of the other table.
+func (p *settings) other(s *tableState) *tableState {
+	if s == &p.config {
+		return &p.keys
+	}
+	return &p.config
+}
+
+// hold keeps a table from a peer until the other table has the given revision.
+func (p *settings) hold(s *tableState, held heldTable) {
+	held.since = p.r.now
+	if s.held.table != nil {
+		held.since = s.held.since
+	}
+	s.held = held
+}
+
+// release puts a held table in force once its counterpart is, or if that has not arrived
+// within the limit for changes.
+func (p *settings) release(s *tableState) {
+	held := s.held
+	if held.table == nil {
+		return
+	}
+	if held.table.Revision() <= s.revision() {
+		s.held = heldTable{}
+		return
+	}
+	o := p.other(s)
+	arrived := o.revision() >= held.needs || o.held.table != nil && o.held.table.Revision() >= held.needs && o.held.needs <= held.table.Revision()
+	if !arrived && p.r.now-held.since < p.applyLimit() {
+		return
+	}
+	s.held = heldTable{}
+	if held.base != s.table {
+		held.changed = nil
+	}
+	p.adopt(s, held.table, held.changed, "peer", held.from)
+	p.release(o)
+}
+
 // adopt puts a table in force if its revision is newer, and schedules notices to
 // peers. If changed is nil, the changed entries are unknown and the index is rebuilt.
 // The source is a read, a watch or a peer; from is that peer.
@@ -338,9 +400,12 @@
 	if p.watches() && !s.watching && s.versionValid {
 		wake = s.watchDue
 	}
-	if s.newest > s.revision() {
+	if s.newest > s.received() {
 		wake = min(wake, s.pullDue)
 	}
+	if s.held.table != nil {
+		wake = min(wake, s.held.since+p.applyLimit())
+	}
 	return wake
 }
 
@@ -354,7 +419,8 @@
 }
 
 func (p *settings) refresh(s *tableState) {
-	if s.newest > s.revision() && p.r.now >= s.pullDue {
+	p.release(s)
+	if s.newest > s.received() && p.r.now >= s.pullDue {
 		p.pullAgain(s)
 	}
 	if p.watches() && !s.watching && s.versionValid && p.r.now >= s.watchDue {
--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -84,7 +84,7 @@
 // compare pulls a revision from the peer that reports it, if the revision is newer
 // than the one in force and any reported before.
 func (p *settings) compare(s *tableState, from jackdawbridge.Peer, revision uint64) {
-	if revision <= max(s.revision(), s.newest) {
+	if revision <= max(s.received(), s.newest) {
 		return
 	}
 	s.newest = revision
@@ -104,7 +104,7 @@
 		to = peers[0]
 	}
 	if s.pulls > maxPulls {
-		s.newest = s.revision()
+		s.newest = s.received()
 		return
 	}
 	p.r.send(to, jackdawbridge.NewPull(s.name, s.revision()))
@@ -136,14 +136,14 @@
 	p.r.send(from, jackdawbridge.NewTableDelta(s.name, since, s.revision(), s.table.Change(), entries))
 }
 
-// deltaReceived handles the changes of a table from a peer. A delta since revision 0 is
-// the whole table.
-func (p *settings) deltaReceived(from jackdawbridge.Peer, m *jackdawbridge.TableDelta) {
+// deltaReceived handles the changes of a table from a peer, which had the revisions in the
+// digest in force when it sent them. A delta since revision 0 is the whole table.
+func (p *settings) deltaReceived(from jackdawbridge.Peer, digest jackdawbridge.Digest, m *jackdawbridge.TableDelta) {
 	if !isTable(m.Name()) {
 		return
 	}
 	s := p.state(m.Name())
-	if m.Revision() <= s.revision() || m.Since() > s.revision() {
+	if m.Revision() <= s.received() || m.Since() > s.revision() {
 		return
 	}
 	table, err := p.merged(s, m)
@@ -156,7 +156,12 @@
 	if m.Since() > 0 {
 		changed = m.Entries()
 	}
-	p.adopt(s, table, changed, "peer", from.Node())
+	needs := digest.Keys()
+	if s == &p.keys {
+		needs = digest.Config()
+	}
+	p.hold(s, heldTable{table: table, base: s.table, changed: changed, from: from.Node(), needs: needs})
+	p.release(s)
 }
 
 // merged returns the table that results from a delta.
