reducer: a node that relies on its peers reads the tables again within the limit

While the record was missing, members of higher rank read it only every 1 to 3 s, since their peers answered. A change repaired the record, and in the same instant the node was cut off from its peers.

They read again after half of the limit on average, 0.75 of it at most, and after longer only in a data centre of more than 64 members.

--- a/reducer/table_reader.go
+++ b/reducer/table_reader.go
@@ -45,9 +45,11 @@
 	// the next one, in thousandths of the limit, of a member of the three lowest ranks and
 	// of one that gets no answers from its peers.
 	readRetryPermille = 250
-	// readersPerLimit bounds the reads per limit of the other members while reads do not
-	// confirm the tables, since they rely on the first three and on each other.
-	readersPerLimit = 64
+	// relyingRetryPermille is that time for the other members, which rely on the first
+	// three and on each other. In a data centre of more than maxRetrying members it grows
+	// with the size, which bounds the reads while the platform is away.
+	relyingRetryPermille = 500
+	maxRetrying          = 64
 )
 
 // tableReader is the state of this node's own reads of both tables.
@@ -210,7 +212,7 @@
 	case p.r.members.hashRank <= 2 || p.r.now-p.reader.answered > p.applyLimit():
 		return p.r.members.jitter(p.limitPart(readRetryPermille))
 	}
-	return p.r.members.jitter(p.applyLimit() * max(1, jackdawbridge.Millis(p.r.members.size()/readersPerLimit)))
+	return p.r.members.jitter(p.limitPart(relyingRetryPermille) * max(1, jackdawbridge.Millis(p.r.members.size()/maxRetrying)))
 }
 
 // readFailed schedules the next read after one that failed. The wait doubles with each
