review: case 2, a request that crashes servers is not held back

Cause: the fingerprint of such a request doesn't cover the query, so that other requests of the same tenant on the same path, once served, clear it (rule BUDGET). The former case 2 is case 3, 4 is 5 and 5 is 4. The former case 3, a departure that is acknowledged and not recorded, needs two kills and gives way; review/standin still plays it, as it plays a departure during an outage of the platform.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 for program in target/jackdawbridge target/standin target/review-standin; do
 	[ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build.sh" >&2; exit 2; }
 done
-exec target/review-standin origin "$here/record.txt"
+exec target/review-standin uploads "$here/record.txt"
--- a/review/standin/departure.go
+++ b/review/standin/departure.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -40,6 +41,43 @@
 	})
 }
 
+// outageDeparture lets the server beside a node leave while the platform does not answer,
+// kills the node's process, and delivers a heartbeat from before the departure to the next
+// one, once the platform answers again.
+func outageDeparture(f *fleet) (bool, error) {
+	return f.departure(func(s *server) (time.Time, error) {
+		if f.trouble {
+			if err := f.control(`{"down":true}`); err != nil {
+				return time.Time{}, err
+			}
+			time.AfterFunc(outageTime, func() { _ = f.control(`{"down":false}`) })
+		}
+		acknowledged, err := f.leave(s)
+		if err != nil || !f.trouble {
+			return acknowledged, err
+		}
+		time.Sleep(200 * time.Millisecond)
+		return acknowledged, s.node.kill()
+	})
+}
+
+// outageTime is how long the platform does not answer.
+const outageTime = 2500 * time.Millisecond
+
+// control sets the faults of the platform.
+func (f *fleet) control(body string) error {
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.platform+"/control", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	f.record("platform: %s", body)
+	return response.Body.Close()
+}
+
 // departure starts a service with two servers, lets one of them leave, and delivers one of
 // its heartbeats from before the departure late. The rule is broken if a request reaches the
 // server later than the drain period after its departure was acknowledged. The function
@@ -66,7 +104,7 @@
 	}
 	stop := make(chan struct{})
 	answers := make(chan []answer)
-	go func() { answers <- f.calls(entry, stop) }()
+	go func() { answers <- f.calls(entry, "/leny950/2f", stop) }()
 	time.Sleep(2 * time.Second)
 
 	late, sentAt := s.heartbeat(), time.Now() // on its way for lateBy
@@ -136,7 +174,7 @@
 }
 
 // calls sends 60 requests a second to a node until stop is closed.
-func (f *fleet) calls(n *node, stop <-chan struct{}) []answer {
+func (f *fleet) calls(n *node, path string, stop <-chan struct{}) []answer {
 	results := make(chan answer, 4096)
 	count := 0
 	for ticker := time.NewTicker(time.Second / 60); ; count++ {
@@ -149,7 +187,7 @@
 			}
 			return all
 		case <-ticker.C:
-			go func() { results <- n.call("hulo84.example", "/leny950/2f", http.MethodPost, nil) }()
+			go func() { results <- n.call("hulo84.example", path, http.MethodPost, nil) }()
 		}
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,11 +21,13 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*fleet) (bool, error){
-	"late-heartbeat":  lateHeartbeat,
-	"early-departure": earlyDeparture,
-	"stop":            stop,
-	"origin":          origin,
-	"uploads":         uploads,
+	"late-heartbeat":   lateHeartbeat,
+	"early-departure":  earlyDeparture,
+	"outage-departure": outageDeparture,
+	"crash":            crash,
+	"stop":             stop,
+	"origin":           origin,
+	"uploads":          uploads,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 	sequence int
 	stopped  bool // sends no more heartbeats
 	arrivals []arrival
+	http     *http.Server
+	gone     bool // the process has crashed
 }
 
 // arrival is a request that has reached the server.
@@ -38,20 +41,58 @@
 
 // serve starts the server beside a node, with its heartbeats.
 func (n *node) serve(slots int, work time.Duration) *server {
-	s := &server{node: n, id: "i-" + n.name, born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), work: work}
-	go func() {
-		server := &http.Server{Addr: n.addresses["server"], Handler: s}
-		n.fleet.record("%s: the server has ended: %v", n.name, server.ListenAndServe())
-	}()
+	s := &server{node: n, id: "i-" + n.name, slots: make(chan struct{}, slots), work: work}
+	s.start()
 	go func() {
 		for !s.silent() {
-			_, _ = s.send(s.heartbeat()) // repeated after a while, whatever the answer
+			if !s.crashed() {
+				_, _ = s.send(s.heartbeat()) // repeated after a while, whatever the answer
+			}
 			time.Sleep(heartbeat)
 		}
 	}()
 	return s
 }
 
+// start begins to accept requests as a new process of the server.
+func (s *server) start() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born, s.sequence, s.gone = time.Now().UnixMilli(), 0, false
+	s.http = &http.Server{Addr: s.node.addresses["server"], Handler: s}
+	go func(server *http.Server) {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			s.node.fleet.record("%s: the server has ended: %v", s.id, err)
+		}
+	}(s.http)
+}
+
+// crashTime is how long a server is gone after a crash.
+const crashTime = 2 * time.Second
+
+// crash ends the process of the server with all its connections, and starts another one
+// after a while.
+func (s *server) crash(id string) {
+	s.mu.Lock()
+	s.gone = true
+	server := s.http
+	s.mu.Unlock()
+	s.node.fleet.record("%s: crashes at request %s", s.id, id)
+	_ = server.Close()
+	time.AfterFunc(crashTime, func() {
+		s.start()
+		s.node.fleet.record("%s: is back", s.id)
+		_, _ = s.send(s.heartbeat()) // repeated after a while, whatever the answer
+	})
+}
+
+// crashed reports whether the process of the server is gone.
+func (s *server) crashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
 // silent reports whether the server sends no more heartbeats.
 func (s *server) silent() bool {
 	s.mu.Lock()
@@ -113,6 +154,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Query().Get("stand") == crashValue {
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, a)
+		s.mu.Unlock()
+		s.crash(a.id)
+		panic(http.ErrAbortHandler)
+	}
 	var err error
 	a.body, err = io.Copy(io.Discard, r.Body)
 	a.whole = err == nil
