reducer: a stop answers every request before the end of the grace period

Cause: the end of the grace period was no event of the reducer; the runtime cancelled what was left. Ruled out: requests at work, and requests that cross the close.

Change: the reducer has the timetable of a stop. Bodies that have not arrived end with a refusal.

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -145,7 +145,8 @@
 		WithApplyLimit(jackdawbridge.Millis(c.ApplyLimit.Milliseconds())).
 		WithConfirmInterval(jackdawbridge.Millis(c.Confirm.Milliseconds())).
 		WithRetryBudget(c.RetryPermille, c.RetryBurst).
-		WithStopLimit(jackdawbridge.Millis((c.GracePeriod / 2).Milliseconds()))
+		WithStopLimit(jackdawbridge.Millis((c.GracePeriod / 2).Milliseconds())).
+		WithGracePeriod(jackdawbridge.Millis((c.GracePeriod * gracePercent / 100).Milliseconds()))
 	if c.Floors {
 		options = options.WithFloors()
 	}
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -77,6 +77,10 @@
 			return got, strings.Contains(backend.out.String(), `"method"`)
 		})
 		return "", err
+	case "hold":
+		return "", f.hold(d)
+	case "ends":
+		return f.ends()
 	case "raw":
 		return f.raw(arg(d, "node"), arg(d, "listener"), d.Input)
 	case "metric":
@@ -169,6 +173,58 @@
 	return call(client, method, f.nodes[arg(d, "node")].callers, arg(d, "path"), key, strings.NewReader(strings.Repeat("x", size)))
 }
 
+// hold sends the given number of calls at once, with bodies of the given size, and waits
+// until the node has them all. With the argument part it does not wait, and half of each
+// body is never sent.
+func (f *fleet) hold(d *datadriven.TestData) error {
+	node, method, path, key, part := arg(d, "node"), arg(d, "method"), arg(d, "path"), f.keys[arg(d, "key")], d.HasArg("part")
+	count, _ := strconv.Atoi(arg(d, "count"))
+	size, _ := strconv.Atoi(arg(d, "body"))
+	if f.load == nil {
+		f.load = &load{results: make(map[string]int)}
+	}
+	l := f.load
+	for range count {
+		l.group.Go(func() {
+			var body io.Reader = strings.NewReader(strings.Repeat("x", size))
+			if part {
+				never, unused := io.Pipe()
+				defer func() { _ = unused.Close() }()
+				body = io.MultiReader(io.LimitReader(body, int64(size/2)), never)
+			}
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			a := call(client, method, f.nodes[node].callers, path, key, body)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.results[resultOf(a)]++
+		})
+	}
+	if part {
+		return nil
+	}
+	want := fmt.Sprint("jackdawbridge_calls_in_progress ", count)
+	_, err := f.poll("calls at the node", func() (string, bool) {
+		line, err := f.metric(node, "jackdawbridge_calls_in_progress")
+		return line, err == nil && line == want
+	})
+	return err
+}
+
+// ends waits until all calls of hold have ended and returns their results.
+func (f *fleet) ends() (string, error) {
+	ended := make(chan struct{})
+	go func() {
+		f.load.group.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return strings.Join(slices.Sorted(maps.Keys(f.load.results)), "\n"), nil
+	case <-time.After(stepTimeout):
+		return "", errors.New("some calls have not ended")
+	}
+}
+
 // received returns, as one line each, whether the log of a backend server contains
 // a request, the caller's key, an Authorization header, the envelope of a forwarded
 // request, and a token.
--- a/effect.go
+++ b/effect.go
@@ -93,6 +93,12 @@
 // Attempt returns the attempt, 0 for a run.
 func (c *Cancel) Attempt() int { return c.attempt }
 
+// Withdraw stops the intake of requests before the exit of the process. The nodes of
+// upstreams refuse the attempts in progress that are not yet running, attempts that
+// are not yet sent fail as not run, and requests whose bodies are still being read are
+// refused. Attempts that are running continue.
+type Withdraw struct{}
+
 // Send sends a message to a peer.
 type Send struct {
 	to    Peer
@@ -183,6 +189,7 @@
 func (*Deliver) effect()    {}
 func (*Refuse) effect()     {}
 func (*Cancel) effect()     {}
+func (*Withdraw) effect()   {}
 func (*Send) effect()       {}
 func (*Load) effect()       {}
 func (*LoadTables) effect() {}
@@ -265,6 +272,9 @@
 	e.list = append(e.list, c)
 }
 
+// Withdraw adds a Withdraw effect.
+func (e *Effects) Withdraw() { e.list = append(e.list, &Withdraw{}) }
+
 // Send adds a Send effect.
 func (e *Effects) Send(to Peer, frame Frame) {
 	s := e.sends.New()
--- a/event.go
+++ b/event.go
@@ -141,6 +141,21 @@
 // Call returns the call.
 func (e *CallCancelled) Call() CallID { return e.call }
 
+// ForwardWithdrawn reports that the peer that forwarded a call is about to exit and
+// withdraws the call unless it is already running.
+type ForwardWithdrawn struct {
+	eventTime
+	call CallID
+}
+
+// NewForwardWithdrawn returns the event for the withdrawal of a forwarded call.
+func NewForwardWithdrawn(at Millis, call CallID) *ForwardWithdrawn {
+	return &ForwardWithdrawn{eventTime{at}, call}
+}
+
+// Call returns the call.
+func (e *ForwardWithdrawn) Call() CallID { return e.call }
+
 // RunAnswered reports that the head of the backend server's answer arrived. The body
 // has not been forwarded yet.
 type RunAnswered struct {
--- a/forwarded_request.go
+++ b/forwarded_request.go
@@ -121,6 +121,9 @@
 	// the request, also while the body of its answer is read. The error is a
 	// *LinkError.
 	Send(ctx context.Context, to Peer, request ForwardedRequest, body Body) (*Answer, error)
+	// Withdraw asks the peers to refuse the requests in progress that are not yet
+	// running. Requests that have not been sent fail, and so do later ones.
+	Withdraw()
 	// Close closes all connections.
 	Close() error
 }
@@ -165,6 +168,9 @@
 	Write(part []byte, last bool) error
 	// Cancel cancels the context of the request.
 	Cancel()
+	// Withdrawn returns a channel that is closed when the sender withdraws the
+	// request. If the request is not yet running, it must be refused.
+	Withdrawn() <-chan struct{}
 }
 
 // InboundHandler serves a request of a peer. An answer that is incomplete when the
--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -24,14 +24,15 @@
 	frames       atomic.Uint64 // received so far
 	unresponsive atomic.Bool   // nothing was received for avoidAfterMissed intervals
 
-	mu       sync.Mutex
-	requests map[uint32]*outboundRequest // in progress, at most maxStreams
-	lastID   uint32                      // stream number of the newest request
-	liveness liveness
-	timer    *time.Timer         // runs checkLiveness at the next ping interval or idle timeout
-	err      error               // why the connection ended
-	onClose  func(c *clientConn) // called once, after the connection has been closed
-	closed   chan struct{}       // closed with the connection
+	mu        sync.Mutex
+	requests  map[uint32]*outboundRequest // in progress, at most maxStreams
+	lastID    uint32                      // stream number of the newest request
+	liveness  liveness
+	timer     *time.Timer         // runs checkLiveness at the next ping interval or idle timeout
+	err       error               // why the connection ended
+	withdrawn bool                // no more requests are sent
+	onClose   func(c *clientConn) // called once, after the connection has been closed
+	closed    chan struct{}       // closed with the connection
 }
 
 // liveness is the state of the ping check of a connection.
@@ -198,6 +199,9 @@
 	if c.err != nil {
 		return nil, c.err
 	}
+	if c.withdrawn {
+		return nil, errWithdrawn
+	}
 	c.lastID++
 	r.id = c.lastID
 	if r.offset, err = c.out.enqueue(kindRequest, flags, r.id, head); err != nil {
@@ -222,6 +226,15 @@
 	return r, nil
 }
 
+// withdraw asks the peer to refuse the requests on the connection that are not yet
+// running. Later requests fail, because the peer would not refuse them.
+func (c *clientConn) withdraw() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withdrawn = true
+	_, _ = c.out.enqueue(kindWithdraw, 0, 0, nil) // fails only if the connection is closed
+}
+
 // remove removes a request that has ended and reports whether it was in progress.
 func (c *clientConn) remove(r *outboundRequest) bool {
 	c.mu.Lock()
--- a/link/frame.go
+++ b/link/frame.go
@@ -20,6 +20,7 @@
 	kindReset                     // the sender has cancelled the request or broken off its answer
 	kindPing                      // requests a pong
 	kindPong
+	kindWithdraw // withdraws all requests on the connection that are not yet running
 )
 
 const (
--- a/link/link.go
+++ b/link/link.go
@@ -77,6 +77,7 @@
 	errUnresponsive = errors.New("link: peer does not answer pings")
 	errProtocol     = errors.New("link: protocol violation")
 	errReset        = errors.New("link: request reset by the peer")
+	errWithdrawn    = errors.New("link: node is stopping and sends no more requests")
 )
 
 // Sealer signs and verifies the messages of the handshake with a secret of the
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -200,6 +200,8 @@
 		select {
 		case <-f.gate:
 			_ = in.Reply(reply, body, true)
+		case <-in.Withdrawn():
+			_ = in.Reply(jackdawbridge.RefusedReply(jackdawbridge.NotRunRefusal(jackdawbridge.Draining), jackdawbridge.NewFeedback(0, 1)), nil, true)
 		case <-ctx.Done():
 			f.cancelled <- string(in.ForwardedRequest().Envelope().ID())
 		}
@@ -335,6 +337,8 @@
 				for _, cancel := range cancels {
 					cancel()
 				}
+			case "withdraw":
+				f.pool.Withdraw()
 			case "silence":
 				f.relay.silence(d.HasArg("on"))
 				return ""
--- a/link/listener.go
+++ b/link/listener.go
@@ -208,6 +208,9 @@
 		return err
 	case kindRequest:
 		return s.open(h, payload)
+	case kindWithdraw:
+		s.withdraw()
+		return nil
 	}
 	s.mu.Lock()
 	r := s.requests[h.stream]
@@ -235,13 +238,24 @@
 	return nil
 }
 
+// withdraw reports to the handlers of all requests on the connection that the peer
+// withdraws them.
+func (s *serverConn) withdraw() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.requests {
+		r.withdraw()
+	}
+}
+
 // open registers a new request and starts its handler.
 func (s *serverConn) open(h frameHeader, payload []byte) error {
 	forwardedRequest, err := s.listener.codec.DecodeForwardedRequest(payload)
 	if err != nil {
 		return errors.Errorf("%w: %w", errProtocol, err)
 	}
-	r := &inboundRequest{serverConn: s, id: h.stream, forwardedRequest: forwardedRequest, empty: h.endsBody()}
+	r := &inboundRequest{serverConn: s, id: h.stream, forwardedRequest: forwardedRequest, empty: h.endsBody(), withdrawn: make(chan struct{})}
+	r.withdraw = sync.OnceFunc(func() { close(r.withdrawn) })
 	r.flow = newFlow(window, h.flags&flagAwaitCredit == 0)
 	r.ctx, r.cancel = context.WithCancel(s.ctx)
 	s.mu.Lock()
@@ -270,6 +284,8 @@
 	flow             *flow
 	ctx              context.Context // cancelled when the request or its connection ends
 	cancel           context.CancelFunc
+	withdrawn        chan struct{} // closed by withdraw
+	withdraw         func()
 	complete         bool // the whole answer has been queued
 }
 
@@ -301,6 +317,9 @@
 // Cancel cancels the context of the request.
 func (r *inboundRequest) Cancel() { r.cancel() }
 
+// Withdrawn returns a channel that is closed when the peer withdraws the request.
+func (r *inboundRequest) Withdrawn() <-chan struct{} { return r.withdrawn }
+
 // Body returns the body of the request, or nil if it has none.
 func (r *inboundRequest) Body() io.Reader {
 	if r.empty {
--- a/link/pool.go
+++ b/link/pool.go
@@ -28,6 +28,9 @@
 	ctx    context.Context   // cancelled when the pool is closed
 	cancel context.CancelFunc
 
+	withdrawn context.Context // cancelled by Withdraw
+	withdraw  context.CancelFunc
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peerConns
 }
@@ -56,6 +59,7 @@
 		lost:   gometrics.GetOrRegisterCounter("link.lost", registry),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.withdrawn, p.withdraw = context.WithCancel(p.ctx)
 	return p
 }
 
@@ -90,6 +94,9 @@
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
+		if p.withdrawn.Err() != nil {
+			return nil, errWithdrawn
+		}
 		r, err := c.open(request, body)
 		if err == nil || try > 0 {
 			return r, err
@@ -127,6 +134,8 @@
 		return pending.conn, pending.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-p.withdrawn.Done():
+		return nil, errWithdrawn
 	}
 }
 
@@ -221,16 +230,30 @@
 	}
 }
 
-// Close closes all connections. Requests in progress fail.
-func (p *Pool) Close() error {
-	p.cancel()
+// Withdraw withdraws the requests in progress that are not yet running: their peers
+// refuse them. Requests that wait for a connection fail, and so do later ones.
+func (p *Pool) Withdraw() {
+	p.withdraw()
+	for _, c := range p.conns() {
+		c.withdraw()
+	}
+}
+
+// conns returns all connections.
+func (p *Pool) conns() []*clientConn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	var conns []*clientConn
 	for _, peer := range p.peers {
 		conns = append(conns, peer.conns...)
 	}
-	p.mu.Unlock()
-	for _, c := range conns {
+	return conns
+}
+
+// Close closes all connections. Requests in progress fail.
+func (p *Pool) Close() error {
+	p.cancel()
+	for _, c := range p.conns() {
 		c.fail(errClosed)
 	}
 	return nil
--- a/node/body.go
+++ b/node/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 
 var (
 	errBodyTooLarge = errors.New("request body exceeds the size limit")
+	errBodyStopped  = errors.New("node exits before the request body has been read")
 	errBodyConsumed = errors.New("request body was already sent in part and cannot be sent again")
 )
 
@@ -32,8 +35,9 @@
 }
 
 // readBody buffers the body of a request up to MaxBufferedBody bytes. The rest of
-// a larger body is read when it is forwarded.
-func readBody(w http.ResponseWriter, r *http.Request, limits Limits) (*body, error) {
+// a larger body is read when it is forwarded. It fails with errBodyStopped if the context
+// stopped ends meanwhile.
+func readBody(w http.ResponseWriter, r *http.Request, limits Limits, stopped context.Context) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return &body{}, nil
 	}
@@ -44,6 +48,7 @@
 		source: r.Body, control: http.NewResponseController(w),
 		rate: limits.minBodyRate, grace: limits.bodyGrace, remaining: limits.maxBodyBytes,
 	}
+	defer context.AfterFunc(stopped, limited.interrupt)()
 	size := int64(MaxBufferedBody)
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength)
@@ -119,13 +124,41 @@
 	remaining int64         // bytes until the size limit
 	total     int64         // bytes read so far
 	waited    time.Duration // time spent in reads
+
+	mu          sync.Mutex
+	interrupted bool // reads fail with errBodyStopped
+}
+
+// interrupt ends a read in progress and all later ones.
+func (r *minRateReader) interrupt() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interrupted = true
+	_ = r.control.SetReadDeadline(time.Now()) // fails only if the connection is closed, which ends the read too
+}
+
+// setDeadline sets the deadline of the next read, unless reads are interrupted.
+func (r *minRateReader) setDeadline(at time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.interrupted {
+		return errBodyStopped
+	}
+	return r.control.SetReadDeadline(at)
+}
+
+// isInterrupted reports whether reads are interrupted.
+func (r *minRateReader) isInterrupted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.interrupted
 }
 
 // Read reads from the body within the time that the minimum rate allows.
 func (r *minRateReader) Read(buffer []byte) (int, error) {
 	started := time.Now()
 	allowed := r.grace + time.Duration(r.total/r.rate)*time.Second - r.waited
-	if err := r.control.SetReadDeadline(started.Add(allowed)); err != nil {
+	if err := r.setDeadline(started.Add(allowed)); err != nil {
 		return 0, errors.Errorf("set read deadline for request body: %w", err)
 	}
 	n, err := r.source.Read(buffer)
@@ -135,6 +168,9 @@
 	if r.remaining < 0 {
 		return 0, errBodyTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && r.isInterrupted() {
+		return n, errBodyStopped
+	}
 	if errors.Is(err, io.EOF) {
 		// The server continues to read from the connection to detect that the
 		// client closes it. The deadline must not end that read.
--- a/node/caller.go
+++ b/node/caller.go
@@ -34,7 +34,11 @@
 func (n *Node) serveCall(w http.ResponseWriter, r *http.Request, child bool) {
 	started := time.Now()
 	in, err := n.readCall(w, r, child)
-	if err != nil {
+	switch {
+	case errors.Is(err, errBodyStopped):
+		n.refuseUnread(w, r)
+		return
+	case err != nil:
 		n.refuseBadInput(w, r, child, err)
 		return
 	}
@@ -56,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	requestBody, err := readBody(w, r, n.limits)
+	requestBody, err := readBody(w, r, n.limits, n.withdrawn)
 	if err != nil {
 		return nil, err
 	}
@@ -78,6 +82,15 @@
 	n.writeRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
 }
 
+// refuseUnread refuses a request whose body has not arrived in time before the exit of
+// the process.
+func (n *Node) refuseUnread(w http.ResponseWriter, r *http.Request) {
+	refusal := jackdawbridge.NotRunRefusal(jackdawbridge.Draining)
+	n.log.warn("node: request refused: its body has not arrived before the exit", "from", r.RemoteAddr)
+	n.prepareRefusal(w, refusal, nil)
+	n.writeRefusal(w, refusal)
+}
+
 // processDecisions carries out the reducer's decisions on a request at its entry
 // node until the request has ended.
 func (n *Node) processDecisions(w http.ResponseWriter, r *http.Request, x *exchange, in *entryRequest) {
--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,9 @@
 
 	ctx             context.Context // cancelled by Close
 	cancel          context.CancelFunc
-	drained         chan struct{} // closed by an Exit effect
+	drained         chan struct{}   // closed by an Exit effect
+	withdrawn       context.Context // cancelled by a Withdraw effect
+	withdraw        context.CancelFunc
 	stopping        atomic.Bool
 	stopRequested   chan struct{} // closed by Stop
 	stopRequestedAt time.Time     // time of the call to Stop; valid after stopRequested is closed
@@ -81,6 +83,7 @@
 		stopRequested: make(chan struct{}),
 		exchanges:     make(map[jackdawbridge.CallID]*exchange),
 	}
+	n.withdrawn, n.withdraw = context.WithCancel(ctx)
 	n.backend = newBackend(n)
 	return n, nil
 }
@@ -119,9 +122,9 @@
 	n.apply(jackdawbridge.NewStopRequested(n.now()))
 }
 
-// Wait waits for Stop and then for the end of the shutdown: the reducer has no
-// work left, and the listeners have been closed without interrupting a request.
-// At the end of the grace period, requests that are still in progress are cut off.
+// Wait waits for Stop and then for the end of the shutdown: the reducer has answered
+// all requests, and the listeners have been closed without interrupting a request.
+// At the end of the grace period, answers that are still being written are cut off.
 func (n *Node) Wait() {
 	<-n.stopRequested
 	ctx, cancel := context.WithDeadline(n.ctx, n.stopRequestedAt.Add(n.limits.gracePeriod))
@@ -232,6 +235,9 @@
 		if x, ok := n.exchanges[e.Call()]; ok {
 			x.cancelAttempt(e.Attempt())
 		}
+	case *jackdawbridge.Withdraw:
+		n.withdraw()
+		n.deps.links.Withdraw()
 	case *jackdawbridge.Send:
 		n.send(e.To(), e.Frame())
 	case *jackdawbridge.Load:
--- a/node/run.go
+++ b/node/run.go
@@ -38,6 +38,7 @@
 // processRunDecisions carries out the reducer's decisions on a forwarded request
 // until the request has ended.
 func (n *Node) processRunDecisions(ctx context.Context, x *exchange, in jackdawbridge.InboundRequest) {
+	withdrawn := in.Withdrawn()
 	for {
 		select {
 		case d := <-x.decisions:
@@ -51,6 +52,9 @@
 				n.replyRefusal(in, d)
 				return
 			}
+		case <-withdrawn:
+			withdrawn = nil
+			n.apply(jackdawbridge.NewForwardWithdrawn(n.now(), x.call))
 		case <-ctx.Done():
 			n.apply(jackdawbridge.NewCallCancelled(n.now(), x.call))
 			return
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -129,6 +129,19 @@
 	})
 }
 
+// withdraw reports to the nodes of the attempts in progress that they are withdrawn.
+func (n *fakeNode) withdraw() {
+	for _, target := range n.attempts {
+		n.h.after(linkDelay+n.h.messageDelays[[2]string{n.name, target.node.name}], func() {
+			if n.h.reaches(n.name, target.node.name) {
+				target.node.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+					return jackdawbridge.NewForwardWithdrawn(at, target.id)
+				})
+			}
+		})
+	}
+}
+
 // hop is one step in the chain of calls of a request kind: the service, and how
 // long its backend server works on the request without overload.
 type hop struct {
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -1,7 +1,9 @@
 package reducer
 
 import (
+	"maps"
 	"math/bits"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
@@ -424,6 +426,33 @@
 	p.refuse(c, p.failure(c, jackdawbridge.Cancelled))
 }
 
+// withdraw refuses the calls that no upstream's node has: those that wait for a token,
+// for the record of their start or for a retry. It is called when the node sends no more
+// requests to upstreams, because its process exits soon.
+func (p *calls) withdraw() {
+	for _, id := range slices.Sorted(maps.Keys(p.active)) {
+		c, ok := p.active[id]
+		if !ok || c.stage == stageForward || c.stage == stageAnswered {
+			continue
+		}
+		p.refuse(c, p.failure(c, jackdawbridge.Draining))
+	}
+}
+
+// abandon refuses the calls whose attempts have no answer, and whose outcomes stay
+// unknown. It is called before the exit of the process. Answers that are being passed on
+// are not interrupted.
+func (p *calls) abandon() {
+	for _, id := range slices.Sorted(maps.Keys(p.active)) {
+		c, ok := p.active[id]
+		if !ok || c.stage == stageAnswered {
+			continue
+		}
+		p.cancelAttempt(c)
+		p.refuse(c, p.failure(c, jackdawbridge.Draining))
+	}
+}
+
 // timeout ends a call whose deadline has passed. An answer that is being passed
 // on is truncated.
 func (p *calls) timeout(c *call) {
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -21,9 +21,27 @@
 	// and waits for other nodes to take over its ranges. Calls in progress are not cut
 	// off: they end by their deadlines.
 	defaultStopLimit = 10 * jackdawbridge.Second
+	// defaultGracePeriod is the default time from the request to stop to the exit.
+	defaultGracePeriod = 27 * jackdawbridge.Second
+	// closeTime is how long before the end of the grace period the last calls are
+	// answered. Their answers are written and the listeners closed within it.
+	closeTime = 300 * jackdawbridge.Millis(1)
+	// withdrawTime is how long before that the node withdraws what is not yet running.
+	// It covers the way to an upstream's node and back, when both are loaded.
+	withdrawTime = 500 * jackdawbridge.Millis(1)
 )
 
 // drain is the part that stops the node without interrupting a request.
+//
+// Every call and run that is in progress at a stop ends within the grace period:
+//
+//   - Until stopLimit, new calls are accepted. Later ones are refused as not run.
+//   - Until withdrawAt, calls wait for tokens, retries and upstreams as usual. Then those
+//     that no upstream has are refused, and the nodes of upstreams refuse those that wait
+//     there. Nothing is sent to an upstream any more.
+//   - Until abandonAt, calls and runs that a backend server is working on may be answered.
+//     Then they are refused, with an unknown outcome.
+//   - Until the end of the grace period, answers that have begun are passed on.
 type drain struct {
 	r             *Reducer
 	drainPeriod   jackdawbridge.Millis // how long new forwarded requests are accepted while draining
@@ -32,11 +50,24 @@
 	stoppingSince jackdawbridge.Millis // when the node began to stop
 	drainingSince jackdawbridge.Millis // when the node or its backend server began to drain, 0 if neither drains
 	runsUntil     jackdawbridge.Millis // end of the time for requests to the backend server; valid while drainingSince is set
+	gracePeriod   jackdawbridge.Millis // time from stoppingSince to the exit
+	withdrawn     bool                 // nothing is sent to an upstream any more
+	abandoned     bool                 // all calls and runs without an answer were refused
 	exited        bool                 // the exit of the process was requested
 }
 
-func newDrain(r *Reducer, drainPeriod, stopLimit jackdawbridge.Millis) drain {
-	return drain{r: r, drainPeriod: drainPeriod, stopLimit: stopLimit}
+func newDrain(r *Reducer, drainPeriod, stopLimit, gracePeriod jackdawbridge.Millis) drain {
+	return drain{r: r, drainPeriod: drainPeriod, stopLimit: stopLimit, gracePeriod: gracePeriod}
+}
+
+// abandonAt returns when calls and runs that have no answer are refused.
+func (p *drain) abandonAt() jackdawbridge.Millis {
+	return p.stoppingSince + p.gracePeriod - min(closeTime, p.gracePeriod/4)
+}
+
+// withdrawAt returns when calls and runs that no backend server is working on are refused.
+func (p *drain) withdrawAt() jackdawbridge.Millis {
+	return p.abandonAt() - min(withdrawTime, p.gracePeriod/4)
 }
 
 // begin begins to stop the node. Further requests to stop it are ignored.
@@ -99,7 +130,9 @@
 
 // refusesRuns reports whether forwarded requests that are not yet running are refused
 // as not run.
-func (p *drain) refusesRuns() bool { return p.drainingSince != 0 && p.r.now >= p.runsUntil }
+func (p *drain) refusesRuns() bool {
+	return p.withdrawn || p.drainingSince != 0 && p.r.now >= p.runsUntil
+}
 
 // sendWithin returns the time left to send requests to a draining backend server, 0 if
 // there is no limit.
@@ -124,7 +157,9 @@
 
 // refusesCalls reports whether new calls are refused because the node is about to
 // exit.
-func (p *drain) refusesCalls() bool { return p.stopping && p.r.now-p.stoppingSince >= p.stopLimit }
+func (p *drain) refusesCalls() bool {
+	return p.withdrawn || p.stopping && p.r.now-p.stoppingSince >= p.stopLimit
+}
 
 // inProgress returns how many calls and runs are in progress.
 func (p *drain) inProgress() int { return len(p.r.calls.active) + len(p.r.runs.active) }
@@ -138,10 +173,12 @@
 	if !p.stopping || p.exited {
 		return next
 	}
-	if p.drainingSince == 0 {
-		return p.stoppingSince + drainDelay
+	times := [...]jackdawbridge.Millis{p.stoppingSince + p.stopLimit, p.withdrawAt(), p.abandonAt(), p.stoppingSince + p.gracePeriod, 0}
+	times[len(times)-1] = p.stoppingSince + drainDelay
+	if p.drainingSince != 0 {
+		times[len(times)-1] = p.drainingSince + p.drainPeriod
 	}
-	for _, at := range []jackdawbridge.Millis{p.drainingSince + p.drainPeriod, p.stoppingSince + p.stopLimit} {
+	for _, at := range times {
 		if p.r.now < at {
 			next = min(next, at)
 		}
@@ -152,7 +189,8 @@
 // tick refuses the waiting requests when no more are sent to the backend server, and
 // announces that the node drains when drainDelay has passed. It requests the exit of the
 // process when the drain period is over, all calls and runs have ended,
-// and either the node's ranges have been taken over or the stop limit has passed.
+// and either the node's ranges have been taken over or the stop limit has passed. Near the
+// end of the grace period it waits for nothing but the answers that are being passed on.
 func (p *drain) tick() {
 	if p.refusesRuns() {
 		p.r.runs.refuseWaiting(jackdawbridge.Draining)
@@ -163,10 +201,8 @@
 	if p.drainingSince == 0 && p.r.now-p.stoppingSince >= drainDelay {
 		p.announceDraining()
 	}
-	if !p.over() || p.inProgress() > 0 {
-		return
-	}
-	if !p.r.authority.released() && p.r.now-p.stoppingSince < p.stopLimit {
+	p.refuseUnanswered()
+	if !p.mayExit() {
 		return
 	}
 	p.exited = true
@@ -174,3 +210,39 @@
 	p.r.fx.Log(jackdawbridge.PartDrain, "drain finished, node exits")
 	p.r.fx.Exit()
 }
+
+// refuseUnanswered refuses the calls and runs in progress whose time in the grace period
+// has ended.
+func (p *drain) refuseUnanswered() {
+	if !p.withdrawn && p.r.now >= p.withdrawAt() {
+		p.withdrawn = true
+		p.r.fx.Log(jackdawbridge.PartDrain, "exit is near: calls and runs that are not at a backend server are refused").
+			Int("calls", int64(len(p.r.calls.active))).Int("runs", int64(len(p.r.runs.active)))
+		p.r.runs.refuseWaiting(jackdawbridge.Draining)
+		p.r.calls.withdraw()
+		p.r.fx.Withdraw()
+	}
+	if !p.abandoned && p.r.now >= p.abandonAt() {
+		p.abandoned = true
+		if p.inProgress() > 0 {
+			p.r.fx.Warn(jackdawbridge.PartDrain, "exit is near: calls and runs without an answer are refused with an unknown outcome").
+				Int("calls", int64(len(p.r.calls.active))).Int("runs", int64(len(p.r.runs.active)))
+		}
+		p.r.runs.abandon()
+		p.r.calls.abandon()
+	}
+}
+
+// mayExit reports whether the process may exit: all calls and runs have ended and the
+// node has left the fleet in an orderly way, or its time has ended.
+func (p *drain) mayExit() bool {
+	switch {
+	case p.r.now-p.stoppingSince >= p.gracePeriod:
+		return true
+	case p.inProgress() > 0:
+		return false
+	case p.abandoned:
+		return true
+	}
+	return p.over() && (p.r.authority.released() || p.r.now-p.stoppingSince >= p.stopLimit)
+}
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -252,6 +252,8 @@
 			options = options.WithDrainPeriod(jackdawbridge.Millis(n))
 		case "stop":
 			options = options.WithStopLimit(jackdawbridge.Millis(n))
+		case "grace":
+			options = options.WithGracePeriod(jackdawbridge.Millis(n))
 		case "apply":
 			options = options.WithApplyLimit(jackdawbridge.Millis(n))
 		case "confirm":
@@ -324,6 +326,8 @@
 		n.refuse(e)
 	case *jackdawbridge.Cancel:
 		n.cancel(e)
+	case *jackdawbridge.Withdraw:
+		n.withdraw()
 	case *jackdawbridge.Send:
 		n.send(e.To(), e.Frame())
 	case *jackdawbridge.Load:
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -40,6 +40,7 @@
 	fullReadInterval jackdawbridge.Millis // time between two reads of the tables in full
 	retryBudget      retryBudgets         // permille and burst only, without balances
 	stopLimit        jackdawbridge.Millis // how long a stopping node accepts new calls
+	gracePeriod      jackdawbridge.Millis // time from the request to stop to the exit
 	firstStart       bool                 // no process of the fleet ran before
 }
 
@@ -48,7 +49,7 @@
 	self jackdawbridge.Peer, seed [32]byte,
 	picker jackdawbridge.Picker, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue,
 ) Options {
-	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue, drain: defaultDrainPeriod, stopLimit: defaultStopLimit, applyLimit: defaultApplyLimit, fullReadInterval: defaultFullReadInterval, retryBudget: newRetryBudgets()}
+	return Options{self: self, seed: seed, picker: picker, limiter: limiter, queue: queue, drain: defaultDrainPeriod, stopLimit: defaultStopLimit, gracePeriod: defaultGracePeriod, applyLimit: defaultApplyLimit, fullReadInterval: defaultFullReadInterval, retryBudget: newRetryBudgets()}
 }
 
 // WithFloors returns o for a node that admits a part of an account's rate on its
@@ -110,6 +111,13 @@
 	return o
 }
 
+// WithGracePeriod returns o with the time from the request to stop until the process
+// exits, by which all calls are answered.
+func (o Options) WithGracePeriod(span jackdawbridge.Millis) Options {
+	o.gracePeriod = span
+	return o
+}
+
 // Reducer holds the whole state of a node.
 type Reducer struct {
 	self    jackdawbridge.Peer // this node as last announced; state and version change
@@ -155,7 +163,7 @@
 	r.settings.reader.limit, r.settings.reader.fullInterval = options.applyLimit, options.fullReadInterval
 	r.authority = newAuthority(r)
 	r.quarantine = newQuarantine(r)
-	r.drain = newDrain(r, options.drain, options.stopLimit)
+	r.drain = newDrain(r, options.drain, options.stopLimit, options.gracePeriod)
 	r.departures = newDepartures(r, options.firstStart)
 	return r, nil
 }
@@ -177,6 +185,8 @@
 		r.runs.cancelled(e.Call())
 	case *jackdawbridge.ForwardArrived:
 		r.runs.arrive(e)
+	case *jackdawbridge.ForwardWithdrawn:
+		r.runs.withdrawn(e.Call())
 	case *jackdawbridge.RunAnswered:
 		r.runs.answered(e)
 	case *jackdawbridge.RunRejected:
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -20,7 +20,7 @@
 
 // mayRetry reports whether a call may be sent again after an attempt that failed.
 func (p *calls) mayRetry(c *call, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason) bool {
-	if c.allowance < 1 || c.deadline <= p.r.now {
+	if c.allowance < 1 || c.deadline <= p.r.now || p.r.drain.withdrawn {
 		return false
 	}
 	if outcome != jackdawbridge.NotRun && !c.envelope.Idempotent() {
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -1,6 +1,9 @@
 package reducer
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
@@ -255,6 +258,31 @@
 	p.dispatch()
 }
 
+// withdrawn refuses a request that its entry node has withdrawn, unless it is running.
+func (p *runs) withdrawn(id jackdawbridge.CallID) {
+	u, ok := p.active[id]
+	if !ok || u.state != runWaiting {
+		return
+	}
+	p.removeWaiting(u)
+	p.refuse(u, jackdawbridge.NotRunRefusal(jackdawbridge.Draining))
+	p.dispatch()
+}
+
+// abandon refuses the running requests, whose outcomes stay unknown. It is called before
+// the exit of the process. Answers that are being passed on are not interrupted.
+func (p *runs) abandon() {
+	for _, id := range slices.Sorted(maps.Keys(p.active)) {
+		u, ok := p.active[id]
+		if !ok || u.state != runRunning {
+			continue
+		}
+		p.r.fx.Cancel(u.id, 0)
+		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.Draining), p.feedback(u, p.level(u), 0))
+		p.end(u, true)
+	}
+}
+
 // refuse refuses a request that did not run and removes it.
 func (p *runs) refuse(u *run, refusal jackdawbridge.Refusal) {
 	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.queue.Level(p.r.now), u.envelope.RetryAllowance()))
