reducer: a departure is stored before it is acknowledged, and holds over restarts

Cause: a record compared numbers and did not say that a process has left; a departure of a backend server that is not the current one had no record; and the wait for a record ended after 0.5 s.

Change: a record holds the last departures and says which are final. All of them go through the reducer, which acknowledges none without a record. A new process believes an announcement after it has read the record, or a second announcement while the platform is away.

TestCallAllocations has no platform, so its nodes start as those of a new fleet.

--- a/backend_process.go
+++ b/backend_process.go
@@ -22,11 +22,37 @@
 // Sequence returns the number of the announcement after that start, 0 if unknown.
 func (p BackendProcess) Sequence() uint64 { return p.sequence }
 
-// NotAfter reports whether p was made by the same backend server as o and is not known
-// to be newer.
-func (p BackendProcess) NotAfter(o BackendProcess) bool {
-	if p.backend != o.backend {
+// SameProcess reports whether p and o are announcements of one process.
+func (p BackendProcess) SameProcess(o BackendProcess) bool {
+	return p.backend == o.backend && p.generation == o.generation
+}
+
+// DepartedProcess is the departure of a process of a backend server.
+type DepartedProcess struct {
+	process BackendProcess // with the number of the announcement of the departure, or of the last one before it
+	left    bool           // the process ends; otherwise it drains, which a later announcement may take back
+}
+
+// NewDepartedProcess returns the departure of a process that has left, or that drains.
+func NewDepartedProcess(process BackendProcess, left bool) DepartedProcess {
+	return DepartedProcess{process: process, left: left}
+}
+
+// Process returns the process and the announcement by which it departed.
+func (d DepartedProcess) Process() BackendProcess { return d.process }
+
+// Left reports whether the process has left, which is final.
+func (d DepartedProcess) Left() bool { return d.left }
+
+// Covers reports whether the departure holds for the sender of an announcement: the
+// announcement is of an earlier process of the backend server, or of the same process and
+// does not take the departure back.
+func (d DepartedProcess) Covers(p BackendProcess) bool {
+	if p.backend != d.process.backend {
 		return false
 	}
-	return p.generation < o.generation || p.generation == o.generation && p.sequence <= o.sequence
+	if p.generation != d.process.generation {
+		return p.generation < d.process.generation
+	}
+	return d.left || p.sequence <= d.process.sequence
 }
--- a/check.go
+++ b/check.go
@@ -352,9 +352,11 @@
 	case *Seed:
 		c.require(strings.HasPrefix(string(name), string(SeedsPrefix)), "record %q is not a seed record", name)
 		c.requireNoError(v.peer.Check(), "seed")
-	case *Departure:
+	case *Departures:
 		c.require(strings.HasPrefix(string(name), string(DeparturesPrefix)), "record %q is not a departure record", name)
-		c.optionalName(v.process.backend, "backend server")
+		for _, d := range v.list {
+			c.optionalName(d.process.backend, "backend server")
+		}
 	default:
 		c.require(false, "value %T is unknown", v)
 	}
--- a/event.go
+++ b/event.go
@@ -224,6 +224,7 @@
 	slots    int // at least 1
 	conns    int // at least 1
 	draining bool
+	left     bool // draining is set too, and final
 	process  BackendProcess
 	receipt  uint64 // answered by an Acknowledge effect, 0 if nothing waits for one
 }
@@ -234,6 +235,12 @@
 	return &BackendAnnounced{eventTime: eventTime{at}, service: service, slots: slots, conns: conns, draining: draining}
 }
 
+// WithLeft returns e as the announcement that the backend server has left.
+func (e *BackendAnnounced) WithLeft() *BackendAnnounced {
+	e.draining, e.left = true, true
+	return e
+}
+
 // WithProcess returns e as an announcement of the given process.
 func (e *BackendAnnounced) WithProcess(process BackendProcess) *BackendAnnounced {
 	e.process = process
@@ -259,12 +266,35 @@
 // Draining reports whether the backend server accepts no new requests.
 func (e *BackendAnnounced) Draining() bool { return e.draining }
 
+// Left reports whether the backend server has left and will not serve again.
+func (e *BackendAnnounced) Left() bool { return e.left }
+
 // Process returns which announcement of which process e is.
 func (e *BackendAnnounced) Process() BackendProcess { return e.process }
 
 // Receipt returns the number of the Acknowledge effect that answers e, 0 for none.
 func (e *BackendAnnounced) Receipt() uint64 { return e.receipt }
 
+// BackendDeparted reports that a backend server has left that is not the current one of
+// the node: the node has had no announcement of it, or one of a later one.
+type BackendDeparted struct {
+	eventTime
+	process BackendProcess
+	receipt uint64 // answered by an Acknowledge effect
+}
+
+// NewBackendDeparted returns the event for the departure of a process that is not the
+// current one. An Acknowledge effect with the given number answers it.
+func NewBackendDeparted(at Millis, process BackendProcess, receipt uint64) *BackendDeparted {
+	return &BackendDeparted{eventTime{at}, process, receipt}
+}
+
+// Process returns the process that has left.
+func (e *BackendDeparted) Process() BackendProcess { return e.process }
+
+// Receipt returns the number of the Acknowledge effect that answers e.
+func (e *BackendDeparted) Receipt() uint64 { return e.receipt }
+
 // BackendLost reports that the local backend server was lost: it refuses connections,
 // its heartbeats stopped, or a new process announced itself.
 type BackendLost struct{ eventTime }
--- a/node/announcement_test.go
+++ b/node/announcement_test.go
@@ -62,8 +62,14 @@
 		if e.Draining() {
 			text = "draining"
 		}
+		if e.Left() {
+			text = "left"
+		}
 		r.events = append(r.events, text)
 		effects.Acknowledge(e.Receipt())
+	case *jackdawbridge.BackendDeparted:
+		r.events = append(r.events, fmt.Sprint("departed born=", e.Process().Generation()))
+		effects.Acknowledge(e.Receipt())
 	}
 }
 
@@ -99,6 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.backend.wallTime = func() uint64 { return 1_000_000 }
 	n.transport = struct{ jackdawbridge.Transport }{}
 	n.timer = time.AfterFunc(time.Hour, func() {})
 	c.node = n
--- a/node/backend.go
+++ b/node/backend.go
@@ -28,12 +28,16 @@
 	// server is not used for a request that is not repeatable. Some backend servers
 	// drop idle connections after a few hundred milliseconds.
 	maxIdleBeforeReuse = 100 * time.Millisecond
+	// departureMemory is how long the departure of a process other than the current one
+	// is remembered. It is far above the time by which an announcement may be late.
+	departureMemory = 120 * jackdawbridge.Second
 )
 
 // backend tracks the local backend server: its announcements, its heartbeats and
 // its loss.
 type backend struct {
-	n *Node
+	n        *Node
+	wallTime func() uint64 // Unix time in milliseconds, from the clock that backend servers on the instance read
 
 	// order is held from the decision on an announcement or a loss until the reducer
 	// has applied it, so that the reducer gets them in the order of the decisions. It
@@ -44,6 +48,7 @@
 	latest         jackdawbridge.Announcement // the newest accepted announcement
 	announced      bool                       // an announcement has been accepted
 	departed       jackdawbridge.Announcement // the last departure of a process other than the one of latest; zero if there was none
+	departedUntil  jackdawbridge.Millis       // when departed is forgotten
 	alive          bool                       // the backend server has not been lost since the last announcement
 	client         *client.Client             // nil before the first announcement
 	heartbeatTimer *time.Timer                // restarted by each accepted announcement except a departure; nil before the first
@@ -53,7 +58,9 @@
 	receipts    map[uint64]chan struct{} // by number; closed when the reducer acknowledges the announcement
 }
 
-func newBackend(n *Node) *backend { return &backend{n: n, receipts: make(map[uint64]chan struct{})} }
+func newBackend(n *Node) *backend {
+	return &backend{n: n, wallTime: func() uint64 { return uint64(time.Now().UnixMilli()) }, receipts: make(map[uint64]chan struct{})}
+}
 
 // serveAnnouncement serves an announcement or a heartbeat of the backend server.
 // An outdated announcement is acknowledged too, but has no effect. One that the
@@ -120,6 +127,11 @@
 	defer b.order.Unlock()
 	before := b.latestAnnouncement()
 	accepted, restarted := b.recordAnnouncement(a)
+	if a.State() == jackdawbridge.BackendLeft && !accepted {
+		departed := b.lastDeparture()
+		b.log("node: departure of a backend server that is not the current one", departed, before)
+		return true, b.n.apply(jackdawbridge.NewBackendDeparted(b.n.now(), departed.Process(), receipt))
+	}
 	if !accepted {
 		b.n.metrics.count("announcements_late")
 		b.log("node: outdated announcement of the backend server ignored", a, before)
@@ -133,9 +145,19 @@
 		b.n.apply(jackdawbridge.NewBackendLost(b.n.now()))
 	}
 	last := b.latestAnnouncement()
-	draining := a.State() != jackdawbridge.BackendServing
-	return true, b.n.apply(jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), draining).
-		WithProcess(last.Process()).WithReceipt(receipt))
+	event := jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), a.State() == jackdawbridge.BackendDraining).
+		WithProcess(last.Process()).WithReceipt(receipt)
+	if a.State() == jackdawbridge.BackendLeft {
+		event = event.WithLeft()
+	}
+	return true, b.n.apply(event)
+}
+
+// lastDeparture returns the last departure of a process other than the current one.
+func (b *backend) lastDeparture() jackdawbridge.Announcement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.departed
 }
 
 // log writes a line on an announcement and on the one that was in force before it.
@@ -186,16 +208,22 @@
 // recordDeparture records that the backend server has left, and reports whether it is
 // the current one. The server may still finish requests for a while, so it is not
 // marked as lost. The departure of another process is remembered, so that a late
-// heartbeat of it is ignored. The caller holds b.mu.
+// heartbeat of it is ignored. If that departure does not tell when the process started,
+// the process has started before now. The caller holds b.mu.
 func (b *backend) recordDeparture(a jackdawbridge.Announcement) bool {
 	if b.announced && a.Backend() == b.latest.Backend() && (a.Generation() == 0 || a.Generation() == b.latest.Generation()) {
 		b.latest = b.latest.WithState(jackdawbridge.BackendLeft)
 		return true
 	}
-	if a.Generation() == 0 {
-		a = a.WithGeneration(uint64(b.n.now()))
+	switch {
+	case a.Generation() != 0:
+	case b.hasDeparted(a):
+		a = b.departed // the departure is announced once more
+	default:
+		a = a.WithGeneration(b.wallTime())
 	}
 	b.departed = a
+	b.departedUntil = b.n.now() + departureMemory
 	return false
 }
 
@@ -203,7 +231,8 @@
 // remembered, or from an earlier process of the same backend server. The caller holds
 // b.mu.
 func (b *backend) hasDeparted(a jackdawbridge.Announcement) bool {
-	return b.departed.State() == jackdawbridge.BackendLeft && a.Backend() == b.departed.Backend() && a.Generation() <= b.departed.Generation()
+	return b.departed.State() == jackdawbridge.BackendLeft && b.n.now() < b.departedUntil &&
+		a.Backend() == b.departed.Backend() && a.Generation() <= b.departed.Generation()
 }
 
 // heartbeatMissed marks the backend server as lost when no heartbeat has arrived
--- a/record.go
+++ b/record.go
@@ -29,7 +29,7 @@
 func RangesRecord(dc DataCentre) RecordName { return RangesPrefix + RecordName(dc) }
 
 // Value is the content of a record: a *Table, a *Ranges, a *Seed or a
-// *Departure.
+// *Departures.
 type Value interface{ value() }
 
 // Record is a value as read from the platform's store.
@@ -308,15 +308,31 @@
 // Peer returns the member that s names.
 func (s *Seed) Peer() Peer { return s.peer }
 
-// Departure is the record of the last departure that the backend server of an instance
+// MaxDepartures is the maximum number of departures in a record.
+const MaxDepartures = 8
+
+// Departures is the record of the last departures that backend servers of an instance
 // announced. A new process of the node reads it, so that it does not believe a late
-// announcement from before the departure.
-type Departure struct{ process BackendProcess }
+// announcement from before a departure. A nil record has none.
+type Departures struct {
+	list []DepartedProcess // at most MaxDepartures, the latest at the end
+}
+
+// NewDepartures returns the record of the last MaxDepartures of a list of departures, the
+// latest at the end.
+func NewDepartures(list []DepartedProcess) *Departures {
+	return &Departures{list: list[max(0, len(list)-MaxDepartures):]}
+}
 
-// NewDepartureValue returns the record of a departure that the given process announced.
-func NewDepartureValue(process BackendProcess) *Departure { return &Departure{process: process} }
+func (*Departures) value() {}
 
-func (*Departure) value() {}
+// List returns the departures, the latest at the end.
+func (d *Departures) List() []DepartedProcess {
+	if d == nil {
+		return nil
+	}
+	return d.list
+}
 
-// Process returns the process and the announcement by which it departed.
-func (d *Departure) Process() BackendProcess { return d.process }
+// Equal reports whether d and o contain the same departures in the same order.
+func (d *Departures) Equal(o *Departures) bool { return slices.Equal(d.List(), o.List()) }
--- a/reducer/cost_test.go
+++ b/reducer/cost_test.go
@@ -33,7 +33,7 @@
 	start := func(name string) *Reducer {
 		address := netip.MustParseAddrPort("127.0.0.1:7000")
 		peer := jackdawbridge.NewPeer(jackdawbridge.NewNode(jackdawbridge.Instance(name), 1), "one", jackdawbridge.NewAddresses(address, address, address))
-		r, err := New(harnessOrigin, NewOptions(peer, sha256.Sum256([]byte(name)), picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(256)))
+		r, err := New(harnessOrigin, NewOptions(peer, sha256.Sum256([]byte(name)), picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(256)).WithFirstStart())
 		if err != nil {
 			tb.Fatal(err)
 		}
--- a/reducer/fleet_test.go
+++ b/reducer/fleet_test.go
@@ -196,7 +196,7 @@
 		h.store.put(name, current, 0)
 		h.store.unreadable = name
 	case "odd": // written by another program
-		h.store.put(name, jackdawbridge.NewDepartureValue(jackdawbridge.BackendProcess{}), 0)
+		h.store.put(name, jackdawbridge.NewDepartures([]jackdawbridge.DepartedProcess{{}}), 0)
 		h.store.unreadable = name
 	case "missing":
 		h.store.put(name, nil, 0)
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -558,14 +558,22 @@
 // announce reports to a node an announcement of its backend server, newer than the ones
 // before.
 func (h *harness) announce(name string, service jackdawbridge.ServiceName, slots int, draining bool) {
-	h.announceAs(name, service, slots, draining, jackdawbridge.NewBackendProcess("", 0, uint64(h.now)))
+	state := ""
+	if draining {
+		state = "draining"
+	}
+	h.announceAs(name, service, slots, state, jackdawbridge.NewBackendProcess("", 0, uint64(h.now)))
 }
 
 // announceAs reports an announcement of a process of the backend server, which accepts
-// eight connections per slot.
-func (h *harness) announceAs(name string, service jackdawbridge.ServiceName, slots int, draining bool, process jackdawbridge.BackendProcess) {
+// eight connections per slot. The state is draining or left, or empty while it serves.
+func (h *harness) announceAs(name string, service jackdawbridge.ServiceName, slots int, state string, process jackdawbridge.BackendProcess) {
 	h.nodes[name].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-		return jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, draining).WithProcess(process).WithReceipt(1)
+		e := jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, state == "draining").WithProcess(process).WithReceipt(1)
+		if state == "left" {
+			return e.WithLeft()
+		}
+		return e
 	})
 }
 
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -195,6 +195,8 @@
 		r.runs.finished(e)
 	case *jackdawbridge.BackendAnnounced:
 		r.departures.announced(e)
+	case *jackdawbridge.BackendDeparted:
+		r.departures.departed(e)
 	case *jackdawbridge.BackendLost:
 		r.runs.backendLost()
 	case *jackdawbridge.Received:
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -55,7 +55,12 @@
 		h.start(arg(d, "node", ""), jackdawbridge.DataCentre(arg(d, "dc", "one")), joins...)
 	case "announce":
 		h.announceAs(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), intArg(d, "slots", 4),
-			arg(d, "state", "") == "draining", jackdawbridge.NewBackendProcess("", uint64(intArg(d, "born", 0)), uint64(intArg(d, "sequence", 0))))
+			arg(d, "state", ""), jackdawbridge.NewBackendProcess(arg(d, "id", ""), uint64(intArg(d, "born", 0)), uint64(intArg(d, "sequence", 0))))
+	case "depart":
+		process := jackdawbridge.NewBackendProcess(arg(d, "id", ""), uint64(intArg(d, "born", 0)), 0)
+		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewBackendDeparted(at, process, 1)
+		})
 	case "acknowledged":
 		return strconv.Itoa(h.nodes[arg(d, "node", "")].acknowledged), nil
 	case "crash":
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -63,9 +63,8 @@
 		v.Value = &pb.Value_Ranges{Ranges: fromRanges(value)}
 	case *jackdawbridge.Seed:
 		v.Value = &pb.Value_Seed{Seed: fromPeer(value.Peer())}
-	case *jackdawbridge.Departure:
-		p := value.Process()
-		v.Value = &pb.Value_Departure{Departure: &pb.Departure{Backend: p.Backend(), Generation: p.Generation(), Sequence: p.Sequence()}}
+	case *jackdawbridge.Departures:
+		v.Value = &pb.Value_Departure{Departure: fromDepartures(value)}
 	default:
 		return nil, errors.Errorf("encode value: unknown type %T", value)
 	}
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -208,7 +208,7 @@
 	case *pb.Value_Seed:
 		return jackdawbridge.NewSeed(d.peer(v.Seed))
 	case *pb.Value_Departure:
-		return jackdawbridge.NewDepartureValue(jackdawbridge.NewBackendProcess(v.Departure.GetBackend(), v.Departure.GetGeneration(), v.Departure.GetSequence()))
+		return jackdawbridge.NewDepartures(append(mapSlice(v.Departure.GetEarlier(), departedProcess), departedProcess(v.Departure)))
 	}
 	d.fail(errors.New("value is empty"))
 	return nil
@@ -331,3 +331,7 @@
 	}
 	return r.WithRetryAfter(jackdawbridge.Millis(p.GetAfter())).WithStatus(int(p.GetStatus()))
 }
+
+func departedProcess(d *pb.Departure) jackdawbridge.DepartedProcess {
+	return jackdawbridge.NewDepartedProcess(jackdawbridge.NewBackendProcess(d.GetBackend(), d.GetGeneration(), d.GetSequence()), d.GetLeft())
+}
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -186,3 +186,20 @@
 		Reason: uint32(r.Reason()), Outcome: uint32(r.Outcome()), After: int64(r.RetryAfter()), Status: int64(r.Status()),
 	}
 }
+
+// fromDepartures returns the latest departure, which contains the earlier ones. Earlier
+// versions of the program know only the latest.
+func fromDepartures(value *jackdawbridge.Departures) *pb.Departure {
+	list := mapSlice(value.List(), fromDepartedProcess)
+	if len(list) == 0 {
+		return &pb.Departure{}
+	}
+	latest := list[len(list)-1]
+	latest.Earlier = list[:len(list)-1]
+	return latest
+}
+
+func fromDepartedProcess(d jackdawbridge.DepartedProcess) *pb.Departure {
+	p := d.Process()
+	return &pb.Departure{Backend: p.Backend(), Generation: p.Generation(), Sequence: p.Sequence(), Left: d.Left()}
+}
