node: a request ends with its client while nothing reads from the connection

Cause: nothing reads from the connection while the rest of a body waits, and a look at the next byte finds one of the body, so the end behind it is not seen. Ruled out: a cancellation that is lost on the link (link/testdata/gone, new cases, pass before the change too).

Change: the socket is asked for a hang-up, which the kernel reports also behind unread bytes. A request with an unread body, or with further bytes behind it, is checked every 100 ms until it ends, wherever it waits. node/testdata/left expected that a further request hides the close of its caller; it must not any more.

--- a/node/caller.go
+++ b/node/caller.go
@@ -47,10 +47,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(headerRequest, string(in.head.Request().ID()))
+	ctx, watch := watchCaller(r.Context(), in.body.isStreamed())
+	defer watch.stop()
 	x := n.openExchange()
 	defer n.endExchange(x)
 	n.apply(jackdawbridge.NewCallArrived(n.now(), x.call, in.head.Request()))
-	n.processDecisions(w, r, x, in)
+	n.processDecisions(ctx, w, x, in)
 	n.metrics.calls.observe(time.Since(started))
 }
 
@@ -92,14 +94,14 @@
 }
 
 // processDecisions carries out the reducer's decisions on a request at its entry
-// node until the request has ended.
-func (n *Node) processDecisions(w http.ResponseWriter, r *http.Request, x *exchange, in *entryRequest) {
+// node until the request has ended. The context ends when the caller has left.
+func (n *Node) processDecisions(ctx context.Context, w http.ResponseWriter, x *exchange, in *entryRequest) {
 	for {
 		select {
 		case d := <-x.decisions:
 			switch d.kind {
 			case decideForward:
-				n.attempt(r.Context(), x, d, in)
+				n.attempt(ctx, x, d, in)
 			case decideDeliver:
 				n.deliverAnswer(w, x)
 				return
@@ -108,7 +110,7 @@
 				n.writeRefusal(w, d.refusal)
 				return
 			}
-		case <-r.Context().Done():
+		case <-ctx.Done():
 			n.metrics.count("calls_cancelled")
 			n.apply(jackdawbridge.NewCallCancelled(n.now(), x.call))
 			panic(http.ErrAbortHandler)
--- a/node/listen.go
+++ b/node/listen.go
@@ -265,6 +265,23 @@
 	socket.Conn
 	once    sync.Once
 	onClose func()
+	ahead   atomic.Bool                 // a byte behind the request in progress was read, and nothing reads on
+	onAhead atomic.Pointer[callerWatch] // watch of the request in progress, nil if there is none
+}
+
+// Read reads from the connection. While a request is in progress and its body has been
+// read, the server reads a single byte, to notice the end of the connection. If there is
+// such a byte, it reads no further until the request has ended.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	c.ahead.Store(false)
+	n, err := c.Conn.Read(p)
+	if n == 1 && len(p) == 1 {
+		c.ahead.Store(true)
+		if w := c.onAhead.Load(); w != nil {
+			w.start()
+		}
+	}
+	return n, err
 }
 
 // Close closes the connection and frees its place in the limit.
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -14,8 +14,8 @@
 	// Idle reports whether there is nothing to read: neither unread bytes nor the end
 	// of the connection have arrived.
 	Idle() bool
-	// Ended reports whether the peer has closed the connection and nothing is left to
-	// read before its end.
+	// Ended reports whether the peer has closed or reset the connection, even if bytes that
+	// it sent before are not yet read.
 	Ended() bool
 }
 
--- a/socket/socket_linux.go
+++ b/socket/socket_linux.go
@@ -106,11 +106,40 @@
 	return ok && errno == syscall.EAGAIN
 }
 
-// Ended reports whether the end of the connection or a reset comes next. It reads
+// Ended reports whether the end of the connection or a reset has arrived. It reads
 // nothing from the connection.
 func (c *conn) Ended() bool {
 	n, errno, ok := c.peek()
-	return !ok || errno == 0 && n == 0 || errno != 0 && errno != syscall.EAGAIN
+	if !ok || errno == 0 && n == 0 || errno != 0 && errno != syscall.EAGAIN {
+		return true
+	}
+	return n > 0 && c.hungUp()
+}
+
+// Events of poll that report the end of a connection. See poll(2).
+const (
+	pollErr   = 0x8
+	pollHup   = 0x10
+	pollRdhup = 0x2000
+)
+
+// pollFD is the argument of the system call ppoll.
+type pollFD struct {
+	fd      int32
+	events  int16
+	revents int16
+}
+
+// hungUp reports whether the end of the connection or a reset has arrived behind unread
+// bytes.
+func (c *conn) hungUp() bool {
+	var poll pollFD
+	err := c.raw.Control(func(fd uintptr) {
+		poll = pollFD{fd: int32(fd), events: pollRdhup}
+		var atOnce syscall.Timespec
+		_, _, _ = syscall.RawSyscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&poll)), 1, uintptr(unsafe.Pointer(&atOnce)), 0, 0, 0)
+	})
+	return err != nil || poll.revents&(pollRdhup|pollHup|pollErr) != 0
 }
 
 // peek looks for a byte to read. It returns their number, 0 at the end of the connection,
