--- a/link/flow.go
+++ b/link/flow.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	if len(chunk) > 0 {
-		f.chunks = append(f.chunks, chunk)
+		f.append(chunk)
 		f.buffered += len(chunk)
 	}
 	f.ended = end
@@ -56,6 +56,20 @@
 	return true
 }
 
+// append adds a chunk to those that are not yet read. A small one is copied behind the one
+// before it: the window counts bytes, and a chunk of a single byte takes the memory of many.
+func (f *flow) append(chunk []byte) {
+	if len(chunk) >= smallChunk {
+		f.chunks = append(f.chunks, chunk)
+		return
+	}
+	if last := len(f.chunks) - 1; last >= 0 && cap(f.chunks[last])-len(f.chunks[last]) >= len(chunk) {
+		f.chunks[last] = append(f.chunks[last], chunk...)
+		return
+	}
+	f.chunks = append(f.chunks, append(make([]byte, 0, 2*smallChunk), chunk...))
+}
+
 // readBody reads from the peer's body into p, waiting for data if there is none.
 // It also returns the credit that the caller must grant to the peer. The first
 // call for a body that waits for credit returns only that credit, without data.
--- a/link/link.go
+++ b/link/link.go
@@ -61,6 +61,8 @@
 	window = 64 << 10
 	// maxChunk bounds the bytes of a body in one frame.
 	maxChunk = 32 << 10
+	// smallChunk is the size in bytes below which received chunks are joined.
+	smallChunk = 1 << 10
 	// maxPayload bounds the payload of a frame in bytes. The listeners for callers
 	// limit the heads of requests to far less.
 	maxPayload = 2 << 20
