--- a/node/body.go
+++ b/node/body.go
@@ -37,7 +37,7 @@
 // readBody buffers the body of a request up to MaxBufferedBody bytes. The rest of
 // a larger body is read when it is forwarded. It fails with errBodyStopped if the context
 // stopped ends meanwhile.
-func readBody(w http.ResponseWriter, r *http.Request, limits Limits, stopped context.Context) (*body, error) {
+func readBody(stopped context.Context, w http.ResponseWriter, r *http.Request, limits Limits) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return &body{}, nil
 	}
--- a/node/caller.go
+++ b/node/caller.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	requestBody, err := readBody(w, r, n.limits, n.withdrawn)
+	requestBody, err := readBody(n.withdrawn, w, r, n.limits)
 	if err != nil {
 		return nil, err
 	}
