--- a/link/pool.go
+++ b/link/pool.go
@@ -98,16 +98,43 @@
 			return nil, errWithdrawn
 		}
 		r, err := c.open(request, body)
+		if err == nil {
+			// Requests that arrive at once have all found the connection idle.
+			if requests, _ := c.load(); requests >= newConnThreshold {
+				p.grow(address)
+			}
+		}
 		if err == nil || try > 0 {
 			return r, err
 		}
 	}
 }
 
+// grow opens another connection to a peer in the background if each has at least
+// newConnThreshold requests and there are fewer than maxConnsPerPeer.
+func (p *Pool) grow(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer := p.peers[address]
+	if p.ctx.Err() != nil || peer == nil {
+		return
+	}
+	if best, least := peer.leastLoaded(); best != nil && least >= newConnThreshold && len(peer.conns) < maxConnsPerPeer {
+		p.startDial(address, peer)
+	}
+}
+
+// startDial opens a connection to a peer in the background, unless one is being opened. The
+// caller holds p.mu.
+func (p *Pool) startDial(address netip.AddrPort, peer *peerConns) {
+	if peer.pendingDial == nil {
+		peer.pendingDial = &pendingDial{done: make(chan struct{})}
+		go p.dial(address, peer.pendingDial)
+	}
+}
+
 // conn returns the usable connection to a peer with the fewest requests. If no
-// connection is usable, it waits for a new one. If each has at least
-// newConnThreshold requests and there are fewer than maxConnsPerPeer, it opens
-// another one in the background.
+// connection is usable, it waits for a new one.
 func (p *Pool) conn(ctx context.Context, address netip.AddrPort) (*clientConn, error) {
 	p.mu.Lock()
 	if p.ctx.Err() != nil {
@@ -119,10 +146,9 @@
 		peer = &peerConns{}
 		p.peers[address] = peer
 	}
-	best, least := peer.leastLoaded()
-	if (best == nil || least >= newConnThreshold && len(peer.conns) < maxConnsPerPeer) && peer.pendingDial == nil {
-		peer.pendingDial = &pendingDial{done: make(chan struct{})}
-		go p.dial(address, peer.pendingDial)
+	best, _ := peer.leastLoaded()
+	if best == nil {
+		p.startDial(address, peer)
 	}
 	pending := peer.pendingDial
 	p.mu.Unlock()
