--- a/link/link_test.go
+++ b/link/link_test.go
@@ -313,6 +313,7 @@
 				}
 				return showCounts(seen)
 			case "hold": // sends requests that stay in progress, whose handler is that of path or of /hold
+				streamed := d.HasArg("streamed")
 				if path == "" {
 					path = "/hold"
 				}
@@ -320,7 +321,7 @@
 					ctx, cancel := context.WithCancel(t.Context())
 					cancels[i] = cancel
 					inProgress.Go(func() {
-						end := f.send(ctx, to, path, size, d.HasArg("streamed"))
+						end := f.send(ctx, to, path, size, streamed)
 						mu.Lock()
 						defer mu.Unlock()
 						ends = append(ends, end)
