jackdawbridge, wire: types for load, backlog, usage and precedence

Cause: placement by remaining work and admission of whole call trees need figures that no message carries: the load that a backend server reports, the work that an upstream still has, what a request used of each service, and the order of a request among those that compete for the same service.

Change: BackendLoad, Backlog, Usage and Precedence in the root package, fields of Feedback and Envelope for them, Dialect.ReadLoad, and their encoding. No decision reads them yet. Numbers out of range are clamped.

--- a/check.go
+++ b/check.go
@@ -137,6 +137,9 @@
 	c.requireRange(int64(f.occupancy.busy), 0, maxCapacity, "busy requests")
 	c.requireRange(int64(f.occupancy.limit), 0, maxCapacity, "concurrency limit")
 	c.requireRange(int64(f.waited), 0, int64(maxDuration), "waiting time")
+	for i := range f.usage.length {
+		c.name(string(f.usage.services[i].service), "used service")
+	}
 }
 
 // Check returns an error if a field of r has an invalid value.
--- a/dialect.go
+++ b/dialect.go
@@ -24,6 +24,9 @@
 	// the request. The error means that the answer does not come from a backend
 	// server.
 	ClassifyAnswer(answer *http.Response) (refusal Refusal, refused bool, err error)
+	// ReadLoad returns the load of a backend server as reported in an answer. It reports
+	// false if the answer has none that can be read.
+	ReadLoad(answer *http.Response) (BackendLoad, bool)
 	// WriteRefusal sets the headers of a refusal and returns its status code.
 	WriteRefusal(h http.Header, refusal Refusal) int
 	// IsAnnouncement reports whether a request is an announcement of the local
--- a/event.go
+++ b/event.go
@@ -162,13 +162,23 @@
 	eventTime
 	call   CallID
 	status int
+	load   BackendLoad // zero if the backend server reported none
 }
 
 // NewRunAnswered returns the event for the head of a backend server's answer.
 func NewRunAnswered(at Millis, call CallID, status int) *RunAnswered {
-	return &RunAnswered{eventTime{at}, call, status}
+	return &RunAnswered{eventTime: eventTime{at}, call: call, status: status}
 }
 
+// WithLoad returns e with the load that the backend server reported.
+func (e *RunAnswered) WithLoad(load BackendLoad) *RunAnswered {
+	e.load = load
+	return e
+}
+
+// Load returns the load that the backend server reported, zero if it reported none.
+func (e *RunAnswered) Load() BackendLoad { return e.load }
+
 // Call returns the call.
 func (e *RunAnswered) Call() CallID { return e.call }
 
@@ -180,13 +190,23 @@
 	eventTime
 	call   CallID
 	reason Reason
+	load   BackendLoad // zero if the backend server reported none
 }
 
 // NewRunRejected returns the event for a request that the backend server refused.
 func NewRunRejected(at Millis, call CallID, reason Reason) *RunRejected {
-	return &RunRejected{eventTime{at}, call, reason}
+	return &RunRejected{eventTime: eventTime{at}, call: call, reason: reason}
 }
 
+// WithLoad returns e with the load that the backend server reported.
+func (e *RunRejected) WithLoad(load BackendLoad) *RunRejected {
+	e.load = load
+	return e
+}
+
+// Load returns the load that the backend server reported, zero if it reported none.
+func (e *RunRejected) Load() BackendLoad { return e.load }
+
 // Call returns the call.
 func (e *RunRejected) Call() CallID { return e.call }
 
--- a/feedback.go
+++ b/feedback.go
@@ -7,6 +7,9 @@
 	unusedRetries int   // retries of the call's allowance that were not used
 	occupancy     Occupancy
 	waited        Millis // time in the upstream's queue
+	backlog       Backlog
+	usage         Usage // of the request and of the calls made for it
+	retryGranted  bool  // a request that the backend server rejected may be sent to another one
 }
 
 // NewFeedback returns a load report with the admission level of an upstream and the
@@ -22,6 +25,36 @@
 	return f
 }
 
+// WithBacklog returns f with the work that the upstream still has to do.
+func (f Feedback) WithBacklog(backlog Backlog) Feedback {
+	f.backlog = backlog
+	return f
+}
+
+// WithUsage returns f with what the request, with the calls made for it, used of the
+// services that it reached.
+func (f Feedback) WithUsage(usage Usage) Feedback {
+	f.usage = usage
+	return f
+}
+
+// WithRetryGranted returns f for a request that the backend server rejected, and reports
+// whether the service has room for a second try elsewhere.
+func (f Feedback) WithRetryGranted(granted bool) Feedback {
+	f.retryGranted = granted
+	return f
+}
+
+// Backlog returns the work that the upstream still has to do, zero if unknown.
+func (f Feedback) Backlog() Backlog { return f.backlog }
+
+// Usage returns what the request used of the services that it reached.
+func (f Feedback) Usage() Usage { return f.usage }
+
+// RetryGranted reports whether the service has room for a second try of a request that the
+// backend server rejected.
+func (f Feedback) RetryGranted() bool { return f.retryGranted }
+
 // Level returns the admission level of the upstream.
 func (f Feedback) Level() Level { return f.level }
 
--- a/native/native.go
+++ b/native/native.go
@@ -127,6 +127,12 @@
 	return jackdawbridge.Refusal{}, false, nil
 }
 
+// ReadLoad reports false: backend servers of this protocol do not report their load with
+// answers.
+func (d Dialect) ReadLoad(*http.Response) (jackdawbridge.BackendLoad, bool) {
+	return jackdawbridge.BackendLoad{}, false
+}
+
 // WriteRefusal sets the headers for the outcome and the reason of a refusal and
 // returns its status code.
 func (d Dialect) WriteRefusal(h http.Header, refusal jackdawbridge.Refusal) int {
--- a/node/run.go
+++ b/node/run.go
@@ -86,11 +86,11 @@
 	switch {
 	case failure == nil && refusal.Reason() != jackdawbridge.NoReason:
 		n.metrics.count("runs_rejected")
-		n.apply(jackdawbridge.NewRunRejected(n.now(), x.call, refusal.Reason()))
+		n.apply(jackdawbridge.NewRunRejected(n.now(), x.call, refusal.Reason()).WithLoad(answer.load))
 	case failure == nil:
 		x.backend = answer
 		n.metrics.runs.observe(time.Since(started))
-		n.apply(jackdawbridge.NewRunAnswered(n.now(), x.call, answer.response.StatusCode))
+		n.apply(jackdawbridge.NewRunAnswered(n.now(), x.call, answer.response.StatusCode).WithLoad(answer.load))
 	case ctx.Err() == nil:
 		n.reportFailedRun(x, in.ForwardedRequest().Envelope(), failure)
 	}
@@ -116,12 +116,14 @@
 // backendAnswer is an answer of the local backend server.
 type backendAnswer struct {
 	response *http.Response
-	prefix   []byte // the first bytes of the body
-	complete bool   // prefix is the whole body
+	prefix   []byte                    // the first bytes of the body
+	complete bool                      // prefix is the whole body
+	load     jackdawbridge.BackendLoad // zero if the backend server reported none
 }
 
-// callBackend sends a request to the local backend server. It returns the answer,
-// or a refusal if the backend server has rejected the request.
+// callBackend sends a request to the local backend server. It returns the answer. If the
+// backend server has rejected the request, it returns a refusal, and the answer has nothing
+// but the reported load.
 func (n *Node) callBackend(ctx context.Context, x *exchange, d decision, in jackdawbridge.InboundRequest) (*backendAnswer, jackdawbridge.Refusal, *client.Error) {
 	var noRefusal jackdawbridge.Refusal
 	if !x.setCancel(in.Cancel) {
@@ -147,15 +149,17 @@
 		_ = response.Body.Close()
 		return nil, noRefusal, client.NewError(err, true)
 	}
+	load, _ := n.deps.dialect.ReadLoad(response)
 	if refused {
 		client.DiscardRefusal(response.Body, maxRefusalBytes)
-		return nil, refusal, nil
+		return &backendAnswer{load: load}, refusal, nil
 	}
 	answer, err := readPrefix(response)
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, noRefusal, client.NewError(err, true)
 	}
+	answer.load = load
 	return answer, noRefusal, nil
 }
 
--- a/request.go
+++ b/request.go
@@ -110,6 +110,8 @@
 	sender         Node   // entry node of the attempt
 	sent           Millis // by the sender's clock
 	objective      Millis // time left of the latency objective, 0 if unknown or passed
+	precedence     Precedence
+	repeated       bool // another send of this request, or of the one for which it is made, reached a backend server
 }
 
 // NewEnvelope returns the envelope of a caller's request.
@@ -182,6 +184,27 @@
 	return e
 }
 
+// WithPrecedence returns e with the order of the request among those that compete for the
+// same service.
+func (e Envelope) WithPrecedence(precedence Precedence) Envelope {
+	e.precedence = precedence
+	return e
+}
+
+// WithRepeated returns e marked as a repetition of a request that reached a backend server
+// before, or of a call for such a repetition.
+func (e Envelope) WithRepeated(repeated bool) Envelope {
+	e.repeated = repeated
+	return e
+}
+
+// Precedence returns the order of the request among those that compete for the same service.
+func (e Envelope) Precedence() Precedence { return e.precedence }
+
+// Repeated reports whether another send of the request, or of the one for which it is made,
+// reached a backend server.
+func (e Envelope) Repeated() bool { return e.repeated }
+
 // Sender returns the node that sent e.
 func (e Envelope) Sender() Node { return e.sender }
 
--- a/wire/request_head.go
+++ b/wire/request_head.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -60,6 +61,7 @@
 	f := r.Feedback()
 	p.Level, p.Unused, p.Waited = uint32(f.Level()), int64(f.UnusedRetries()), int64(f.Waited())
 	p.Busy, p.Limit = int64(f.Occupancy().Busy()), int64(f.Occupancy().Limit())
+	p.Backlog, p.Used, p.Granted = fromBacklog(f.Backlog()), fromUsage(f.Usage()), f.RetryGranted()
 	if refusal, refused := r.Refusal(); refused {
 		p.Refusal = fromRefusal(refusal)
 	}
@@ -80,7 +82,8 @@
 	var d decoder
 	var reply jackdawbridge.Reply
 	feedback := jackdawbridge.NewFeedback(enum[jackdawbridge.Level](&d, p.Level), int(p.Unused)).
-		WithOccupancy(jackdawbridge.NewOccupancy(int(p.Busy), int(p.Limit)), jackdawbridge.Millis(p.Waited))
+		WithOccupancy(jackdawbridge.NewOccupancy(int(p.Busy), int(p.Limit)), jackdawbridge.Millis(p.Waited)).
+		WithBacklog(d.backlog(p.Backlog)).WithUsage(d.usage(p.Used)).WithRetryGranted(p.Granted)
 	if p.Refusal != nil {
 		if p.Status != 0 {
 			d.fail(errors.Errorf("refusal has status %d from the backend server: want none", p.Status))
@@ -105,6 +108,7 @@
 		Budget: int64(e.Budget()), Allowance: int64(e.RetryAllowance()), Depth: int64(e.Depth()),
 		Fingerprint: uint64(e.Fingerprint()), Alone: e.Exclusive(),
 		Objective: int64(e.Objective()), Sender: fromSender(e.Sender()), Sent: int64(e.Sent()),
+		Turn: uint32(e.Precedence()), Again: e.Repeated(),
 	}
 }
 
@@ -114,7 +118,56 @@
 		enum[jackdawbridge.Criticality](d, p.GetCriticality()), jackdawbridge.Millis(p.GetBudget()),
 	).WithPaidPriority(p.GetBought()).WithIdempotent(p.GetIdempotent()).WithRetryAllowance(int(p.GetAllowance())).
 		WithDepth(int(p.GetDepth())).WithFingerprint(jackdawbridge.Fingerprint(p.GetFingerprint()), p.GetAlone()).
-		WithObjective(jackdawbridge.Millis(p.GetObjective())).WithSent(d.sender(p.GetSender()), jackdawbridge.Millis(p.GetSent()))
+		WithObjective(jackdawbridge.Millis(p.GetObjective())).WithSent(d.sender(p.GetSender()), jackdawbridge.Millis(p.GetSent())).
+		WithPrecedence(precedence(p.GetTurn())).WithRepeated(p.GetAgain())
+}
+
+// fromBacklog returns nil for an unknown backlog, which is not encoded.
+func fromBacklog(b jackdawbridge.Backlog) *pb.Backlog {
+	if b.IsZero() {
+		return nil
+	}
+	return &pb.Backlog{Work: int64(b.Work()), Each: int64(b.PerRequest()), Pace: int64(b.Pace())}
+}
+
+func (d *decoder) backlog(p *pb.Backlog) jackdawbridge.Backlog {
+	if p == nil {
+		return jackdawbridge.Backlog{}
+	}
+	return jackdawbridge.NewBacklog(jackdawbridge.Millis(p.Work), jackdawbridge.Millis(p.Each), int(p.Pace))
+}
+
+func fromUsage(u jackdawbridge.Usage) []*pb.Use {
+	if u.Len() == 0 {
+		return nil
+	}
+	list := make([]*pb.Use, u.Len())
+	for i := range list {
+		s := u.At(i)
+		list[i] = &pb.Use{
+			Service: string(s.Service()), Calls: int64(s.Calls()), Work: int64(s.Work()),
+			Bar: uint32(s.Threshold()), Retry: uint32(s.RetryThreshold()), Rejected: int64(s.Rejected()),
+		}
+	}
+	return list
+}
+
+// precedence clamps a precedence that is out of range, which only affects the order of
+// requests.
+func precedence(p uint32) jackdawbridge.Precedence {
+	return min(jackdawbridge.Precedence(min(p, math.MaxUint16)), jackdawbridge.MaxPrecedence)
+}
+
+// usage decodes the services that a request reached, without those beyond MaxUsage.
+func (d *decoder) usage(list []*pb.Use) jackdawbridge.Usage {
+	var u jackdawbridge.Usage
+	for _, p := range list[:min(len(list), jackdawbridge.MaxUsage)] {
+		s := jackdawbridge.NewServiceUsage(jackdawbridge.ServiceName(p.Service), int(p.Calls), jackdawbridge.Millis(p.Work)).
+			WithThresholds(precedence(p.Bar), precedence(p.Retry)).
+			WithRejected(int(p.Rejected))
+		u.Add(s)
+	}
+	return u
 }
 
 // fromHeader encodes a header as a list of alternating names and values.
