reducer, platform: slow start of cold backend servers, evacuation of data centres

Cause: an operator's configuration gives the rate that a cold backend server withstands, and an item of the store names data centres whose backend servers are to get nothing. Neither was read: all nodes together sent a cold backend server up to its full load, and an evacuated data centre went on serving.

Ruled out: a bound in the entry nodes (shares of a small rate among all nodes are below one request a second each); a queue at a cold backend server (it raises the admission level that entry nodes learn for the whole route); a third table for evacuations (a field in each digest, and a third read).

Part warmup bounds the starts at the local backend server while it is cold, as its announcements say, refuses the rest as not run (Warming), announces fewer slots and reports itself as full. Part evacuation: entries of the config table, so that their reads, watches and confirmations cover them; entry nodes drop the upstreams of such a data centre at once, the nodes there refuse what is not yet running half an apply limit later, at once after a restart; afterwards the backend servers count as cold until the next announcement. The revision of the config table has the version of the configuration in its upper half and the store revision of the last evacuation in its lower half; Record.Latest orders a table from which an evacuation was removed.

Measured: reducer TestScripts/cold and /evacuation pass. With the bound taken out, cold: "starts node=b last=3000": 236, at most 82 in a second, want 28, at most 14. Without the two hooks of the evacuation: "starts node=two last=1000": 192, at most 58, want 0.

--- a/check.go
+++ b/check.go
@@ -145,7 +145,7 @@
 // Check returns an error if a field of r has an invalid value.
 func (r Refusal) Check() error {
 	var c validator
-	c.require(r.reason != NoReason && r.reason <= BackendFull, "reason %d is unknown", r.reason)
+	c.require(r.reason != NoReason && r.reason <= Warming, "reason %d is unknown", r.reason)
 	c.require(r.outcome == NotRun || r.outcome == Unknown, "outcome %d of a refusal: want not-run or unknown", r.outcome)
 	c.requireRange(int64(r.retryAfter), 0, int64(maxDuration), "retry delay")
 	c.status(r.status)
@@ -279,10 +279,13 @@
 	}
 }
 
+// entryKinds are the prefixes of the names of entries.
+var entryKinds = []string{"account", "service", "key", "slowstart", "evacuation"}
+
 func (e Entry) check() error {
 	var c validator
 	kind, name, ok := strings.Cut(e.name, "/")
-	c.require(ok && (kind == "account" || kind == "service" || kind == "key"), "name %q has no known prefix", e.name)
+	c.require(ok && slices.Contains(entryKinds, kind), "name %q has no known prefix", e.name)
 	c.name(name, "name")
 	switch {
 	case e.account != nil:
--- a/event.go
+++ b/event.go
@@ -247,6 +247,7 @@
 	left     bool // draining is set too, and final
 	process  BackendProcess
 	receipt  uint64 // answered by an Acknowledge effect, 0 if nothing waits for one
+	coldLeft Millis // how much longer the backend server is cold
 }
 
 // NewBackendAnnounced returns the event for an announcement of the local backend
@@ -274,6 +275,16 @@
 	return e
 }
 
+// WithSlowStartLeft returns e as the announcement of a backend server that stays cold for
+// the given time.
+func (e *BackendAnnounced) WithSlowStartLeft(left Millis) *BackendAnnounced {
+	e.coldLeft = left
+	return e
+}
+
+// SlowStartLeft returns how much longer the backend server is cold, counted from the event.
+func (e *BackendAnnounced) SlowStartLeft() Millis { return e.coldLeft }
+
 // Service returns the service of the backend server.
 func (e *BackendAnnounced) Service() ServiceName { return e.service }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -146,7 +146,7 @@
 	}
 	last := b.latestAnnouncement()
 	event := jackdawbridge.NewBackendAnnounced(b.n.now(), last.Service(), last.Slots(), last.Conns(), a.State() == jackdawbridge.BackendDraining).
-		WithProcess(last.Process()).WithReceipt(receipt)
+		WithProcess(last.Process()).WithReceipt(receipt).WithSlowStartLeft(a.SlowStartLeft())
 	if a.State() == jackdawbridge.BackendLeft {
 		event = event.WithLeft()
 		if a.Generation() == 0 {
--- a/outcome.go
+++ b/outcome.go
@@ -47,6 +47,7 @@
 	Cancelled
 	UpstreamsFull // each upstream of the service already has as many calls as connections
 	BackendFull   // the backend server received the request but did not run it
+	Warming       // the backend server is cold and gets no more requests now
 )
 
 // String returns the reason in lower case.
@@ -55,7 +56,7 @@
 		"invalid key", "unconfirmed key", "invalid token", "too deep", "over rate", "overloaded",
 		"deadline passed", "no upstream", "upstream failed", "draining", "quarantined",
 		"already running", "already ran", "in doubt", "home unreachable", "bad input",
-		"backend server down", "cancelled", "upstreams full", "backend server full")
+		"backend server down", "cancelled", "upstreams full", "backend server full", "backend server cold")
 }
 
 // Refusal is the answer to a request that was not served.
--- a/record.go
+++ b/record.go
@@ -39,6 +39,7 @@
 	value      Value    // nil if the record does not exist or is unchanged
 	unchanged  bool     // the record has the version that the reader named
 	companions []Record // other records of the same item of the platform, read with this one
+	latest     uint64   // see Latest
 }
 
 // NewRecord returns a record read at the given version.
@@ -58,6 +59,17 @@
 	return r
 }
 
+// WithLatest returns r as the record of a table that was the latest one up to a revision.
+func (r Record) WithLatest(revision uint64) Record {
+	r.latest = revision
+	return r
+}
+
+// Latest returns the revision up to which the table of r was the latest one when it was
+// read, 0 if only the table's own revision is known. It orders tables from which an entry
+// was removed without a change of the table's own revision.
+func (r Record) Latest() uint64 { return r.latest }
+
 // Unchanged reports whether r still has the version that its reader named.
 func (r Record) Unchanged() bool { return r.unchanged }
 
@@ -73,14 +85,16 @@
 // Value returns the value of r, nil if r does not exist.
 func (r Record) Value() Value { return r.value }
 
-// Entry is an entry of a table. Exactly one of account, service and key is set, or
-// none if the entry is a tombstone.
+// Entry is an entry of a table. Exactly one of the fields below revision is set, or none if
+// the entry is a tombstone.
 type Entry struct {
-	name     string // unique in the table
-	revision uint64 // of the table at the last change of the entry
-	account  *Account
-	service  *Service
-	key      *Key
+	name      string // unique in the table
+	revision  uint64 // of the table at the last change of the entry
+	account   *Account
+	service   *Service
+	key       *Key
+	slowStart *SlowStart
+	evacuated DataCentre
 }
 
 // AccountEntry returns the entry of a client account.
@@ -125,8 +139,16 @@
 // Key returns the key of e, or nil.
 func (e Entry) Key() *Key { return e.key }
 
+// SlowStart returns the slow start of e, or nil.
+func (e Entry) SlowStart() *SlowStart { return e.slowStart }
+
+// Evacuated returns the data centre whose backend servers are to get no requests, or "".
+func (e Entry) Evacuated() DataCentre { return e.evacuated }
+
 // Removed reports whether e is a tombstone.
-func (e Entry) Removed() bool { return e.account == nil && e.service == nil && e.key == nil }
+func (e Entry) Removed() bool {
+	return e.account == nil && e.service == nil && e.key == nil && e.slowStart == nil && e.evacuated == ""
+}
 
 // Table is a set of entries under one revision. It is immutable; a change creates a
 // new table.
@@ -164,6 +186,17 @@
 // Revision returns the revision of t.
 func (t *Table) Revision() uint64 { return t.revision }
 
+// At returns a copy of t as a later revision of all its entries.
+func (t *Table) At(revision uint64) *Table {
+	c := *t
+	c.revision = revision
+	c.entries = slices.Clone(t.entries)
+	for i := range c.entries {
+		c.entries[i].revision = revision
+	}
+	return &c
+}
+
 // Change returns the id of the change that created t.
 func (t *Table) Change() string { return t.change }
 
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -79,6 +79,10 @@
 		return
 	}
 	for {
+		if !p.r.warmup.allows() {
+			p.refuseWaiting(jackdawbridge.Warming)
+			return
+		}
 		if p.nextExclusive != nil {
 			if !p.noOtherRunning(p.nextExclusive) {
 				return
@@ -124,6 +128,7 @@
 // launch sends a request to the backend server under a new random token.
 func (p *runs) launch(u *run) {
 	p.running++
+	p.r.warmup.started()
 	u.state = runRunning
 	u.began = p.r.now
 	u.inFlight = p.running
@@ -199,8 +204,7 @@
 		until = u.began
 		busy-- // the request itself
 	}
-	occupancy := jackdawbridge.NewOccupancy(busy, p.limiter.Limit())
-	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived)
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(p.r.warmup.occupancy(busy, p.limiter.Limit()), until-u.arrived)
 }
 
 // byToken returns the run that a call of the backend server belongs to.
--- a/reducer/drain.go
+++ b/reducer/drain.go
@@ -131,16 +131,23 @@
 // refusesRuns reports whether forwarded requests that are not yet running are refused
 // as not run.
 func (p *drain) refusesRuns() bool {
-	return p.withdrawn || p.drainingSince != 0 && p.r.now >= p.runsUntil
+	return p.withdrawn || p.drainingSince != 0 && p.r.now >= p.runsUntil || p.r.evacuation.refusesRuns()
 }
 
-// sendWithin returns the time left to send requests to a draining backend server, 0 if
-// there is no limit.
+// sendWithin returns the time left to send requests to a backend server that drains or is in
+// an evacuated data centre, 0 if there is no limit.
 func (p *drain) sendWithin() jackdawbridge.Millis {
-	if p.drainingSince == 0 {
+	until := never
+	if p.drainingSince != 0 {
+		until = p.runsUntil
+	}
+	if p.r.evacuation.since != 0 {
+		until = min(until, p.r.evacuation.until)
+	}
+	if until == never {
 		return 0
 	}
-	return max(p.runsUntil-p.r.now, 1)
+	return max(until-p.r.now, 1)
 }
 
 // over reports whether the drain period has ended.
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -95,6 +95,7 @@
 	pendingEvents []func(at jackdawbridge.Millis) jackdawbridge.Event // arrived while the process was frozen
 	nextTick      jackdawbridge.Millis                                // virtual time of the scheduled tick, 0 if none is
 	serviceTime   jackdawbridge.Millis                                // how long a run takes
+	cold          jackdawbridge.Millis                                // how long the backend server is cold after it comes back from a crash
 	requests      map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs          map[jackdawbridge.CallID]*fakeRun
 	admitted      map[jackdawbridge.CallID]bool
@@ -527,7 +528,9 @@
 	}
 	n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewBackendLost(at) })
 	service, slots := n.reducer.self.Service(), n.reducer.self.Slots()
-	n.h.after(backendRestart, func() { n.h.announce(n.name, service, slots, false) })
+	n.h.after(backendRestart, func() {
+		n.h.announceAs(n.name, service, slots, "", jackdawbridge.NewBackendProcess("", 0, uint64(n.h.now)), n.cold)
+	})
 }
 
 // freeze suspends a process for a span. Events that arrive meanwhile are applied
@@ -562,14 +565,15 @@
 	if draining {
 		state = "draining"
 	}
-	h.announceAs(name, service, slots, state, jackdawbridge.NewBackendProcess("", 0, uint64(h.now)))
+	h.announceAs(name, service, slots, state, jackdawbridge.NewBackendProcess("", 0, uint64(h.now)), 0)
 }
 
 // announceAs reports an announcement of a process of the backend server, which accepts
-// eight connections per slot. The state is draining or left, or empty while it serves.
-func (h *harness) announceAs(name string, service jackdawbridge.ServiceName, slots int, state string, process jackdawbridge.BackendProcess) {
+// eight connections per slot and stays cold for the given time. The state is draining or left,
+// or empty while it serves.
+func (h *harness) announceAs(name string, service jackdawbridge.ServiceName, slots int, state string, process jackdawbridge.BackendProcess, cold jackdawbridge.Millis) {
 	h.nodes[name].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-		e := jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, state == "draining").WithProcess(process).WithReceipt(1)
+		e := jackdawbridge.NewBackendAnnounced(at, service, slots, slots*8, state == "draining").WithProcess(process).WithReceipt(1).WithSlowStartLeft(cold)
 		if state == "left" {
 			return e.WithLeft()
 		}
--- a/reducer/index.go
+++ b/reducer/index.go
@@ -10,9 +10,11 @@
 
 // The prefixes of entry names, one for each kind of entry.
 const (
-	keyPrefix     = "key/"
-	accountPrefix = "account/"
-	servicePrefix = "service/"
+	keyPrefix        = "key/"
+	accountPrefix    = "account/"
+	servicePrefix    = "service/"
+	slowStartPrefix  = "slowstart/"
+	evacuationPrefix = "evacuation/"
 )
 
 // index is a copy of the entries in force that the call path looks up. A lookup neither
@@ -21,14 +23,18 @@
 	keys                          map[jackdawbridge.KeyHash]*jackdawbridge.Key
 	accounts                      map[jackdawbridge.AccountName]*jackdawbridge.Account
 	services                      map[jackdawbridge.ServiceName]*jackdawbridge.Service
+	slowStarts                    map[jackdawbridge.ServiceName]*jackdawbridge.SlowStart
+	evacuated                     map[jackdawbridge.DataCentre]bool
 	accountsRequiringConfirmation int // number of accounts that require confirmed tables
 }
 
 func newIndex() index {
 	return index{
-		keys:     make(map[jackdawbridge.KeyHash]*jackdawbridge.Key),
-		accounts: make(map[jackdawbridge.AccountName]*jackdawbridge.Account),
-		services: make(map[jackdawbridge.ServiceName]*jackdawbridge.Service),
+		keys:       make(map[jackdawbridge.KeyHash]*jackdawbridge.Key),
+		accounts:   make(map[jackdawbridge.AccountName]*jackdawbridge.Account),
+		services:   make(map[jackdawbridge.ServiceName]*jackdawbridge.Service),
+		slowStarts: make(map[jackdawbridge.ServiceName]*jackdawbridge.SlowStart),
+		evacuated:  make(map[jackdawbridge.DataCentre]bool),
 	}
 }
 
@@ -39,6 +45,8 @@
 	} else {
 		clear(x.accounts)
 		clear(x.services)
+		clear(x.slowStarts)
+		clear(x.evacuated)
 		x.accountsRequiringConfirmation = 0
 	}
 	x.update(entries)
@@ -56,6 +64,16 @@
 			if s := e.Service(); s != nil {
 				x.services[s.Name()] = s
 			}
+		} else if rest, ok := strings.CutPrefix(e.Name(), slowStartPrefix); ok {
+			delete(x.slowStarts, jackdawbridge.ServiceName(rest))
+			if s := e.SlowStart(); s != nil {
+				x.slowStarts[s.Service()] = s
+			}
+		} else if rest, ok := strings.CutPrefix(e.Name(), evacuationPrefix); ok {
+			delete(x.evacuated, jackdawbridge.DataCentre(rest))
+			if dc := e.Evacuated(); dc != "" {
+				x.evacuated[dc] = true
+			}
 		}
 	}
 }
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -137,6 +137,8 @@
 	quarantine quarantine
 	drain      drain
 	departures departures
+	warmup     warmup
+	evacuation evacuation
 }
 
 var _ jackdawbridge.Reducer = (*Reducer)(nil)
@@ -165,6 +167,8 @@
 	r.quarantine = newQuarantine(r)
 	r.drain = newDrain(r, options.drain, options.stopLimit, options.gracePeriod)
 	r.departures = newDepartures(r, options.firstStart)
+	r.warmup = newWarmup(r)
+	r.evacuation = newEvacuation(r)
 	return r, nil
 }
 
@@ -233,6 +237,8 @@
 		r.quarantine.wake(),
 		r.drain.wake(),
 		r.departures.wake(),
+		r.warmup.wake(),
+		r.evacuation.wake(),
 	)
 }
 
@@ -266,6 +272,7 @@
 	r.quarantine.tick()
 	r.drain.tick()
 	r.departures.tick()
+	r.warmup.tick()
 }
 
 // receive records the sender's digest in the parts that use it and dispatches the
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -33,7 +33,7 @@
 	case jackdawbridge.Overloaded:
 		return !p.sheds(c) && c.deadline > p.r.now+backoffMin+backoffJitter
 	case jackdawbridge.Draining, jackdawbridge.BackendDown, jackdawbridge.NotReady, jackdawbridge.BackendFull,
-		jackdawbridge.UpstreamFailed:
+		jackdawbridge.UpstreamFailed, jackdawbridge.Warming:
 		return true
 	}
 	// Another upstream would refuse for the same reason.
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -227,6 +227,9 @@
 	s.local, s.remote = s.local[:0], s.remote[:0]
 	p.peers = p.r.members.upstreams(p.peers[:0], service)
 	for _, peer := range p.peers {
+		if p.r.settings.index.evacuated[peer.DataCentre()] {
+			continue
+		}
 		u := upstream{peer: peer, score: upstreamScore(p.r.self.Node().Instance(), peer.Node().Instance())}
 		if peer.DataCentre() == p.r.self.DataCentre() {
 			s.local = append(s.local, u)
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -77,7 +77,8 @@
 	} else {
 		p.r.drain.recordState(state)
 	}
-	self := p.r.self.WithBackend(e.Service(), e.Slots(), e.Conns()).WithState(state)
+	p.r.warmup.announced(e)
+	self := p.r.self.WithBackend(e.Service(), p.r.warmup.slots(), e.Conns()).WithState(state)
 	if self == p.r.self {
 		return
 	}
@@ -161,6 +162,8 @@
 		return jackdawbridge.DeadlinePassed
 	case p.r.quarantine.check(envelope.Fingerprint()) == verdictRefuse:
 		return jackdawbridge.Quarantined
+	case !p.r.warmup.allows():
+		return jackdawbridge.Warming
 	}
 	return jackdawbridge.NoReason
 }
@@ -285,6 +288,9 @@
 
 // refuse refuses a request that did not run and removes it.
 func (p *runs) refuse(u *run, refusal jackdawbridge.Refusal) {
+	if refusal.Reason() == jackdawbridge.Warming {
+		p.r.warmup.refused++
+	}
 	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.queue.Level(p.r.now), u.envelope.RetryAllowance()))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "request refused").About(u.envelope.ID(), p.r.self.Node()).
 		Str("reason", refusal.Reason().String()).Duration("waited_ms", p.r.now-u.arrived).Int("waiting", int64(p.queue.Len())).
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -55,7 +55,12 @@
 		h.start(arg(d, "node", ""), jackdawbridge.DataCentre(arg(d, "dc", "one")), joins...)
 	case "announce":
 		h.announceAs(arg(d, "node", ""), jackdawbridge.ServiceName(arg(d, "service", "")), intArg(d, "slots", 4),
-			arg(d, "state", ""), jackdawbridge.NewBackendProcess(arg(d, "id", ""), uint64(intArg(d, "born", 0)), uint64(intArg(d, "sequence", 0))))
+			arg(d, "state", ""), jackdawbridge.NewBackendProcess(arg(d, "id", ""), uint64(intArg(d, "born", 0)), uint64(intArg(d, "sequence", 0))),
+			jackdawbridge.Millis(intArg(d, "cold", 0)))
+	case "evacuate":
+		h.evacuate(jackdawbridge.DataCentre(arg(d, "dc", "")), arg(d, "state", "on") == "on")
+	case "starts":
+		return h.starts(arg(d, "node", ""), jackdawbridge.Millis(intArg(d, "last", 0)))
 	case "depart":
 		process := jackdawbridge.NewBackendProcess(arg(d, "id", ""), uint64(intArg(d, "born", 0)), 0)
 		h.nodes[arg(d, "node", "")].apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
@@ -64,7 +69,9 @@
 	case "acknowledged":
 		return strconv.Itoa(h.nodes[arg(d, "node", "")].acknowledged), nil
 	case "crash":
-		h.nodes[arg(d, "node", "")].crash()
+		n := h.nodes[arg(d, "node", "")]
+		n.cold = jackdawbridge.Millis(intArg(d, "cold", 0))
+		n.crash()
 	case "by-address":
 		h.byAddress = true
 	case "run-alone":
@@ -202,6 +209,7 @@
 //	account NAME RATE BURST DC:PERMILLE,... [paid] [refuse]
 //	route SERVICE PREFIX CRITICALITY [idempotent] [open] [to=SERVICE:WEIGHT,...] [timeout=MS] [attempts=N]
 //	key KEY ACCOUNT
+//	cold SERVICE MS RATE
 //
 // An account with "paid" has paid priority. One with "refuse" is not served
 // without confirmation.
@@ -221,6 +229,10 @@
 				route, err = newRoute(f, c)
 			}
 			routes[f[1]] = append(routes[f[1]], route)
+		case "cold":
+			var s *jackdawbridge.SlowStart
+			s, err = newSlowStart(f)
+			h.config = append(h.config, jackdawbridge.SlowStartEntry(s))
 		case "key":
 			var k *jackdawbridge.Key
 			k, err = jackdawbridge.NewKey(keyHash(f[1]), jackdawbridge.AccountName(f[2]), "")
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -273,6 +273,12 @@
 	if table.Revision() == 0 {
 		return nil, "table in force not replaced: the platform's table has no revision"
 	}
+	if record.Latest() > 0 && s.table != nil && table.Change() == s.table.Change() && table.Revision() <= s.revision() {
+		return s.table, ""
+	}
+	if table.Revision() <= s.revision() && record.Latest() > s.revision() {
+		table = table.At(record.Latest())
+	}
 	if table.Revision() < s.revision() {
 		return nil, "table in force not replaced: the platform's table is older"
 	}
@@ -359,6 +365,7 @@
 			p.reader.due += p.r.members.jitter(p.limitPart(firstReadPermille))
 		}
 	}
+	first := s.table == nil
 	s.table = table
 	if changed != nil {
 		p.index.update(changed)
@@ -374,6 +381,8 @@
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.remote.follow(dc)
 		}
+		p.r.evacuation.update(first)
+		p.r.warmup.update()
 	}
 	p.gossip.roundsLeft, p.gossip.roundDue = roundCount, p.r.now
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -63,13 +63,14 @@
 	p.mux.HandleFunc("POST "+platform.PathTxn, p.txn)
 	p.mux.HandleFunc("POST "+platform.PathLease, p.lease)
 	p.mux.HandleFunc("PUT /operator/{key...}", p.putAsOperator)
+	p.mux.HandleFunc("DELETE /operator/{key...}", p.deleteAsOperator)
 	p.mux.HandleFunc("GET /control", p.getControl)
 	p.mux.HandleFunc("PUT /control", p.putControl)
 	return p
 }
 
 // ServeHTTP serves the protocol, /control, and /operator, through which an operator
-// writes any item.
+// writes and deletes any item.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
 // Close stops the timers of all leases, so that no lease expires.
@@ -131,8 +132,7 @@
 	p.beginCall(r, "range")
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	page := platform.Range{Items: []platform.Item{}}
+	page := platform.Range{Items: []platform.Item{}, StoreRevision: p.revision}
 	for _, key := range slices.Sorted(maps.Keys(p.items)) {
 		switch {
 		case !strings.HasPrefix(key, prefix) || key <= after:
@@ -142,6 +142,12 @@
 			page.Items = append(page.Items, p.items[key])
 		}
 	}
+	late := time.Duration(p.control.LateMillis) * time.Millisecond
+	p.mu.Unlock()
+	select {
+	case <-time.After(late):
+	case <-r.Context().Done():
+	}
 	writeJSON(w, page)
 }
 
@@ -327,6 +333,14 @@
 	writeJSON(w, platform.TxnResponse{Revision: p.revision})
 }
 
+// deleteAsOperator deletes an item.
+func (p *Platform) deleteAsOperator(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remove(r.PathValue("key"))
+	writeJSON(w, platform.TxnResponse{Revision: p.revision})
+}
+
 func (p *Platform) getControl(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -152,6 +152,15 @@
 		if k := d.key(v.Key); k != nil {
 			e = jackdawbridge.KeyEntry(k)
 		}
+	case *pb.Entry_Start:
+		s, err := jackdawbridge.NewSlowStart(jackdawbridge.ServiceName(v.Start.GetService()), jackdawbridge.Millis(v.Start.GetTime()), float64(v.Start.GetRate())/1000)
+		if err != nil {
+			d.fail(err)
+		} else {
+			e = jackdawbridge.SlowStartEntry(s)
+		}
+	case *pb.Entry_Evacuated:
+		e = jackdawbridge.EvacuationEntry(jackdawbridge.DataCentre(v.Evacuated))
 	case *pb.Entry_Tombstone:
 		e = jackdawbridge.Tombstone(v.Tombstone)
 	default:
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/jackdawbridge/jackdawbridge"
@@ -76,6 +77,11 @@
 		k := e.Key()
 		hash := k.Hash()
 		p.Value = &pb.Entry_Key{Key: &pb.Key{Hash: hash[:], Account: string(k.Account()), Label: k.Label()}}
+	case e.SlowStart() != nil:
+		s := e.SlowStart()
+		p.Value = &pb.Entry_Start{Start: &pb.SlowStart{Service: string(s.Service()), Time: int64(s.Time()), Rate: int64(math.Round(s.Rate() * 1000))}}
+	case e.Evacuated() != "":
+		p.Value = &pb.Entry_Evacuated{Evacuated: string(e.Evacuated())}
 	default:
 		p.Value = &pb.Entry_Tombstone{Tombstone: e.Name()}
 	}
