reducer, platform: a store that comes back from an older copy

Cause: versions were compared as if the store never lost a write. After a return from an older copy, a version could match another record, a check could take another document for an unchanged one, the range record could never be changed again (each write named a version that the store does not have), and a departure of a backend server that was acknowledged was gone.

Change: the platform's client forms versions of (era, revision), refuses a conditional write from another era without a call, and drops answers of an earlier era and what it has observed. Each store event names the era, and digests pass it on, so that nodes without calls to the store notice it. A part has one method for a new era: seed records are read again and claimed, departures are read and stored again by the process that remembers them, the range record is written again by the lowest rank after 2 s without changes, tables are read in full. A new process that may have missed a departure believes the second announcement, as while the store is away. A confirmation of a peer counts only for the same revisions.

Ruled out: an era in each effect (a version that is unique over all eras needs none); a record of the era in the store (it is lost with the rest).

--- a/behaviour.go
+++ b/behaviour.go
@@ -30,6 +30,11 @@
 	// Watch blocks until the version of a record differs from the given one and
 	// returns the record.
 	Watch(ctx context.Context, name RecordName, version uint64) (Record, error)
+	// Era returns the highest era that an answer of the store has named, 0 for a store
+	// without eras. A store that comes back from an older copy of its records starts a new
+	// era. Versions of different eras differ, and a Swap from a version of another era
+	// changes nothing.
+	Era() uint64
 }
 
 // Transport carries messages between nodes.
--- a/cmd/jackdawbridge/change_test.go
+++ b/cmd/jackdawbridge/change_test.go
@@ -18,6 +18,9 @@
 	faults []string // one for each of the next swaps, see Swap
 }
 
+// Era returns 0: the store has no eras.
+func (s *faultyStore) Era() uint64 { return 0 }
+
 // Load returns the record.
 func (s *faultyStore) Load(context.Context, jackdawbridge.RecordName) (jackdawbridge.Record, error) {
 	return s.record, nil
--- a/event.go
+++ b/event.go
@@ -348,32 +348,18 @@
 // Node returns the peer.
 func (e *PeerRefused) Node() Node { return e.node }
 
-// StoreStatus is the result of a request to the platform's store.
-type StoreStatus uint8
-
-// The results of a request to the platform's store.
-const (
-	StoreOK       StoreStatus = iota
-	StoreConflict             // the record has another version and was not changed
-	StoreFailed               // no answer; a write may have taken effect
-	StoreInvalid              // the record cannot be decoded or is not valid
-)
-
-// String returns the status in lower case.
-func (s StoreStatus) String() string { return enumName(s, "ok", "conflict", "failed", "invalid") }
-
 // StoreLoaded is the result of a Load or a Watch effect.
 type StoreLoaded struct {
 	eventTime
+	storeResult
 	name   RecordName
-	status StoreStatus
 	record Record // if StoreOK
 	watch  bool   // result of a Watch
 }
 
 // NewStoreLoaded returns the result of a Load.
 func NewStoreLoaded(at Millis, name RecordName, status StoreStatus, record Record) *StoreLoaded {
-	return &StoreLoaded{eventTime: eventTime{at}, name: name, status: status, record: record}
+	return &StoreLoaded{eventTime: eventTime{at}, storeResult: storeResult{status: status}, name: name, record: record}
 }
 
 // AsWatch marks e as the result of a Watch and returns it. The mark is needed because
@@ -386,9 +372,6 @@
 // Name returns the name of the record.
 func (e *StoreLoaded) Name() RecordName { return e.name }
 
-// Status returns the result of the request.
-func (e *StoreLoaded) Status() StoreStatus { return e.status }
-
 // Watch reports whether e is the result of a Watch.
 func (e *StoreLoaded) Watch() bool { return e.watch }
 
@@ -398,66 +381,57 @@
 // TablesLoaded is the result of a LoadTables effect.
 type TablesLoaded struct {
 	eventTime
-	started Millis // when the read began
-	status  StoreStatus
+	storeResult
+	started Millis   // when the read began
 	records []Record // of both tables, if StoreOK; one that cannot be decoded has a version and no value
 }
 
 // NewTablesLoaded returns the result of a LoadTables that began at the given time.
 func NewTablesLoaded(at, started Millis, status StoreStatus, records []Record) *TablesLoaded {
-	return &TablesLoaded{eventTime: eventTime{at}, started: started, status: status, records: records}
+	return &TablesLoaded{eventTime: eventTime{at}, storeResult: storeResult{status: status}, started: started, records: records}
 }
 
 // Started returns when the read began. The platform had the records then or later.
 func (e *TablesLoaded) Started() Millis { return e.started }
 
-// Status returns the result of the read.
-func (e *TablesLoaded) Status() StoreStatus { return e.status }
-
 // Records returns the records of both tables, if the status is StoreOK.
 func (e *TablesLoaded) Records() []Record { return e.records }
 
 // StoreScanned is the result of a Scan effect.
 type StoreScanned struct {
 	eventTime
+	storeResult
 	prefix  RecordName
-	status  StoreStatus
 	records []Record // if StoreOK; one that cannot be decoded has a version and no value
 }
 
 // NewStoreScanned returns the result of a Scan.
 func NewStoreScanned(at Millis, prefix RecordName, status StoreStatus, records []Record) *StoreScanned {
-	return &StoreScanned{eventTime: eventTime{at}, prefix: prefix, status: status, records: records}
+	return &StoreScanned{eventTime: eventTime{at}, storeResult: storeResult{status: status}, prefix: prefix, records: records}
 }
 
 // Prefix returns the prefix of the records' names.
 func (e *StoreScanned) Prefix() RecordName { return e.prefix }
 
-// Status returns the result of the request.
-func (e *StoreScanned) Status() StoreStatus { return e.status }
-
 // Records returns the records, if the status is StoreOK.
 func (e *StoreScanned) Records() []Record { return e.records }
 
 // StoreSwapped is the result of a Swap effect.
 type StoreSwapped struct {
 	eventTime
+	storeResult
 	name    RecordName
-	status  StoreStatus
 	version uint64 // of the record after the write, if StoreOK
 }
 
 // NewStoreSwapped returns the result of a Swap.
 func NewStoreSwapped(at Millis, name RecordName, status StoreStatus, version uint64) *StoreSwapped {
-	return &StoreSwapped{eventTime{at}, name, status, version}
+	return &StoreSwapped{eventTime{at}, storeResult{status: status}, name, version}
 }
 
 // Name returns the name of the record.
 func (e *StoreSwapped) Name() RecordName { return e.name }
 
-// Status returns the result of the request.
-func (e *StoreSwapped) Status() StoreStatus { return e.status }
-
 // Version returns the version of the record after the write, if the status is
 // StoreOK.
 func (e *StoreSwapped) Version() uint64 { return e.version }
--- a/message.go
+++ b/message.go
@@ -12,8 +12,31 @@
 	rangesProgress uint64 // progress of the range record: twice its epoch, plus one if it is settled
 	sinceConfirmed Millis // time since the platform last confirmed these revisions, directly or through peers
 	maybeStale     bool   // the sender resumed after a freeze and has not checked for newer tables yet
+	era            EraDigest
 }
 
+// EraDigest says what a member knows of the eras of the platform's store.
+type EraDigest struct {
+	current     uint64 // 0 if unknown, or if the store has no eras
+	informed    bool   // the sender would know of a return of the store in the last minutes
+	sinceReturn Millis // time since the sender or its source learned of the last return, 0 if it knows of none
+}
+
+// NewEraDigest returns what a member knows of the eras of the platform's store.
+func NewEraDigest(current uint64, informed bool, sinceReturn Millis) EraDigest {
+	return EraDigest{current: current, informed: informed, sinceReturn: max(sinceReturn, 0)}
+}
+
+// Current returns the highest era that the sender has heard of, 0 if none.
+func (d EraDigest) Current() uint64 { return d.current }
+
+// Informed reports whether the sender would know if the store had come back from an older
+// copy in the last minutes.
+func (d EraDigest) Informed() bool { return d.informed }
+
+// SinceReturn returns the time since the last return that the sender knows of, 0 if none.
+func (d EraDigest) SinceReturn() Millis { return d.sinceReturn }
+
 // NewDigest returns a digest.
 func NewDigest(config, keys, rangesProgress uint64, sinceConfirmed Millis) Digest {
 	return Digest{config: config, keys: keys, rangesProgress: rangesProgress, sinceConfirmed: sinceConfirmed}
@@ -26,6 +49,15 @@
 	return d
 }
 
+// WithEra returns d with what the sender knows of the eras of the store.
+func (d Digest) WithEra(era EraDigest) Digest {
+	d.era = era
+	return d
+}
+
+// Era returns what the sender knows of the eras of the store.
+func (d Digest) Era() EraDigest { return d.era }
+
 // MaybeStale reports whether the sender may lack revisions that other nodes have had
 // for a long time, because it resumed after a freeze.
 func (d Digest) MaybeStale() bool { return d.maybeStale }
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -45,6 +45,9 @@
 	return jackdawbridge.NewRecord(name, 0, nil), nil
 }
 
+// Era returns 0: the store has no eras.
+func (s *memoryStore) Era() uint64 { return 0 }
+
 // Check returns a record.
 func (s *memoryStore) Check(ctx context.Context, name jackdawbridge.RecordName, _ uint64) (jackdawbridge.Record, error) {
 	return s.Load(ctx, name)
--- a/node/store.go
+++ b/node/store.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	started := n.now()
 	records, err := n.readTables(ctx, e)
-	n.apply(jackdawbridge.NewTablesLoaded(n.now(), started, storeStatus(err), records))
+	n.apply(jackdawbridge.WithEra(jackdawbridge.NewTablesLoaded(n.now(), started, storeStatus(err), records), n.deps.store.Era()))
 }
 
 // readTables returns the records of both tables. One that cannot be decoded has no
@@ -72,7 +72,7 @@
 	defer cancel()
 	records, err := n.deps.store.Scan(ctx, prefix)
 	n.countStoreCall(prefix, err)
-	n.apply(jackdawbridge.NewStoreScanned(n.now(), prefix, storeStatus(err), records))
+	n.apply(jackdawbridge.WithEra(jackdawbridge.NewStoreScanned(n.now(), prefix, storeStatus(err), records), n.deps.store.Era()))
 }
 
 // watchRecord waits for a change of a record and reports it to the reducer. If
@@ -93,7 +93,7 @@
 // loadedEvent counts the result of a read and returns the event for it.
 func (n *Node) loadedEvent(name jackdawbridge.RecordName, record jackdawbridge.Record, err error) *jackdawbridge.StoreLoaded {
 	n.countStoreCall(name, err)
-	return jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record)
+	return jackdawbridge.WithEra(jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record), n.deps.store.Era())
 }
 
 // swapRecord replaces a record if it still has the given version and reports the
@@ -103,7 +103,7 @@
 	defer cancel()
 	next, err := n.deps.store.Swap(ctx, name, version, value, lease)
 	n.countStoreCall(name, err)
-	n.apply(jackdawbridge.NewStoreSwapped(n.now(), name, storeStatus(err), next))
+	n.apply(jackdawbridge.WithEra(jackdawbridge.NewStoreSwapped(n.now(), name, storeStatus(err), next), n.deps.store.Era()))
 }
 
 // countStoreCall counts the result of a call to the platform and logs a failure.
--- a/record.go
+++ b/record.go
@@ -35,7 +35,7 @@
 // Record is a value as read from the platform's store.
 type Record struct {
 	name       RecordName
-	version    uint64   // assigned by the platform; 0 if the record does not exist
+	version    uint64   // unique for each change, also over eras of the store; 0 if the record does not exist
 	value      Value    // nil if the record does not exist or is unchanged
 	unchanged  bool     // the record has the version that the reader named
 	companions []Record // other records of the same item of the platform, read with this one
--- a/reducer/authority.go
+++ b/reducer/authority.go
@@ -58,6 +58,7 @@
 	witness       witness
 	lease         lease
 	change        change
+	restore       restore
 	releasing     bool                 // whether the process is about to exit and gives up its ranges
 	stopped       bool                 // whether this process no longer acts for any range
 	releaseBy     jackdawbridge.Millis // when this process stops even if the record names no successors
@@ -222,8 +223,12 @@
 // adopt replaces the record of the local data centre by a newer one and applies it.
 func (p *authority) adopt(ranges *jackdawbridge.Ranges, version uint64) {
 	if progress(ranges) <= progress(p.localRanges) {
+		if p.localRanges != nil && progress(ranges) == progress(p.localRanges) && version > p.version && sameRanges(ranges, p.localRanges) {
+			p.version, p.restore.needed = version, false // it was written again
+		}
 		return
 	}
+	p.restore.needed = false
 	old := p.localRanges
 	p.localRanges, p.version, p.absent = ranges, version, false
 	p.r.fx.Log(jackdawbridge.PartAuthority, "adopted a newer range record").Str("state", stateName(ranges)).Int("epoch", int64(ranges.Epoch()))
@@ -255,6 +260,10 @@
 	p.change.inDoubt = false
 	p.scheduleRead()
 	ranges, ok := e.Record().Value().(*jackdawbridge.Ranges)
+	if p.localRanges != nil && progress(ranges) <= progress(p.localRanges) {
+		p.compareStored(ranges, e.Record().Version())
+		return
+	}
 	if !ok {
 		p.absent = e.Record().Version() == 0 && p.localRanges == nil
 		p.due = p.r.now
@@ -278,6 +287,9 @@
 		p.r.fx.Log(jackdawbridge.PartAuthority, "write of the range record not confirmed, reading it again").Str("status", e.Status().String()).Int("epoch", int64(written.Epoch()))
 		return
 	}
+	if written == p.localRanges {
+		p.version = e.Version() // written again
+	}
 	p.adopt(written, e.Version())
 	for _, node := range named(written) {
 		if peer, ok := p.r.livePeer(node.Instance()); ok && node != p.self() {
@@ -369,7 +381,9 @@
 	if !p.loadPending && p.nextRead > p.r.now && !p.r.members.starting() {
 		p.scheduleRead()
 	}
-	p.change.propose(p, members)
+	if !p.rewrite() && !p.quiet() {
+		p.change.propose(p, members)
+	}
 	p.refreshRemote()
 }
 
--- a/reducer/change.go
+++ b/reducer/change.go
@@ -165,15 +165,15 @@
 }
 
 func (c *change) wake(p *authority) jackdawbridge.Millis {
-	if !c.completes(p) || c.writing != nil || c.inDoubt {
+	if !c.completes(p) || c.writing != nil || c.inDoubt || p.restore.needed {
 		return never
 	}
-	return c.check
+	return max(c.check, p.restore.quietUntil)
 }
 
 // tick collects promises for the pending change and settles it when it is due.
 func (c *change) tick(p *authority) {
-	if !c.completes(p) || c.writing != nil || c.inDoubt || p.r.now < c.check {
+	if !c.completes(p) || c.writing != nil || c.inDoubt || p.restore.needed || p.quiet() || p.r.now < c.check {
 		return
 	}
 	if p.r.now >= c.nextPrepare {
--- a/reducer/departure.go
+++ b/reducer/departure.go
@@ -45,7 +45,8 @@
 type departures struct {
 	r *Reducer
 
-	read    bool                            // the record of earlier processes was read, or cannot exist
+	read    bool                            // the record of earlier processes was read and is complete, or cannot exist
+	partial bool                            // the record was read, but the store may have lost a part of it; read is false
 	readBy  jackdawbridge.Millis            // when an announcement may be believed without it
 	held    *jackdawbridge.BackendAnnounced // announcement that waits for the record
 	heldAt  jackdawbridge.Millis            // when the first announcement of its process was held
@@ -263,8 +264,33 @@
 	}
 	p.acknowledge()
 	if !p.read {
-		p.read = true
-		p.recheck()
+		p.partial = true
+		p.complete()
+	}
+}
+
+// complete decides whether the record that an earlier process has left can be relied on. If
+// the store may have lost a part of it, announcements are believed as while the store does
+// not answer.
+func (p *departures) complete() {
+	if !p.partial || p.r.eras.lost() {
+		return
+	}
+	p.read, p.partial = true, false
+	p.recheck()
+}
+
+// eraBegan handles a return of the store from an older copy. The record is read again, and
+// written again if it lacks a departure that this process remembers.
+func (p *departures) eraBegan() {
+	p.partial, p.doubtful = false, true
+	remembers := slices.ContainsFunc(p.list, func(d departure) bool { return p.r.now < d.until })
+	if remembers {
+		p.change++
+	}
+	if remembers || !p.read {
+		p.callDue = p.r.now + jackdawbridge.Millis(p.r.members.draw(int(eraSpread)))
+		p.calling = false
 	}
 }
 
@@ -324,17 +350,22 @@
 }
 
 // wanted reports whether a call to the platform is needed.
-func (p *departures) wanted() bool { return !p.read || p.stored != p.change }
+func (p *departures) wanted() bool { return !p.read && !p.partial || p.stored != p.change }
 
 func (p *departures) wake() jackdawbridge.Millis {
+	wake := never
+	if p.partial {
+		wake = p.r.eras.lostUntil()
+	}
 	if !p.calling && !p.wanted() {
-		return never
+		return wake
 	}
-	return p.callDue
+	return min(wake, p.callDue)
 }
 
 // tick makes the call to the platform that is due.
 func (p *departures) tick() {
+	p.complete()
 	if p.r.now < p.callDue {
 		return
 	}
@@ -350,7 +381,7 @@
 	}
 	p.calling = true
 	p.callDue = p.r.now + departureCallLimit
-	if !p.read || p.doubtful {
+	if !p.read && !p.partial || p.doubtful {
 		p.r.fx.Load(p.name())
 		return
 	}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -137,6 +137,7 @@
 	quarantine quarantine
 	drain      drain
 	departures departures
+	eras       eras
 }
 
 var _ jackdawbridge.Reducer = (*Reducer)(nil)
@@ -165,6 +166,7 @@
 	r.quarantine = newQuarantine(r)
 	r.drain = newDrain(r, options.drain, options.stopLimit, options.gracePeriod)
 	r.departures = newDepartures(r, options.firstStart)
+	r.eras = newEras(r, options.firstStart)
 	return r, nil
 }
 
@@ -172,6 +174,9 @@
 func (r *Reducer) Apply(event jackdawbridge.Event, effects *jackdawbridge.Effects) {
 	r.fx = effects
 	r.advance(event.At())
+	if result, ok := event.(jackdawbridge.StoreResult); ok {
+		r.eras.answered(result)
+	}
 	switch e := event.(type) {
 	case *jackdawbridge.Tick:
 	case *jackdawbridge.CallArrived:
@@ -276,6 +281,7 @@
 		return
 	}
 	r.members.observe(from)
+	r.eras.observe(from.Node(), frame.Digest().Era())
 	r.settings.observe(from, frame.Digest())
 	r.authority.observe(from, frame.Digest())
 	r.shares.observe(from, frame.Digest())
@@ -371,5 +377,5 @@
 		r.settings.revision(jackdawbridge.KeysTable),
 		r.authority.rangesProgress(),
 		r.settings.confirmedAge(),
-	)
+	).WithEra(r.eras.digest())
 }
--- a/reducer/seed.go
+++ b/reducer/seed.go
@@ -87,6 +87,17 @@
 	return wake
 }
 
+// eraBegan handles a return of the store from an older copy, which may have lost the seed
+// records. The members that hold or are responsible for one read it again, and claim it if
+// it is gone.
+func (p *members) eraBegan() {
+	for i := range p.seeds.slots {
+		slot := &p.seeds.slots[i]
+		slot.valid = false
+		slot.due = p.r.now + jackdawbridge.Millis(p.draw(int(eraSpread)))
+	}
+}
+
 // holdsSeed reports whether a seed record names this node.
 func (p *members) holdsSeed(slot *seedSlot) bool { return slot.valid && slot.holder == p.r.self.Node() }
 
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -391,6 +391,15 @@
 	p.reader.restart(p.r.now)
 }
 
+// eraBegan handles a return of the store from an older copy. Its records are read in full
+// at the next reads that are due anyway. The tables in force stay, and an older one in the
+// store confirms nothing, until the operators have written the newest one again.
+func (p *settings) eraBegan() {
+	for _, s := range p.tables() {
+		s.versionValid, s.version, s.readRevision = false, 0, 0
+	}
+}
+
 func (p *settings) wake() jackdawbridge.Millis {
 	return min(p.config.wake(p), p.keys.wake(p), p.nextRead(), p.gossip.wake())
 }
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -28,6 +28,8 @@
 	watches        int
 	writes         int
 	calls          map[string]int // by verb and kind of record
+	era            uint64         // 0 for a store without eras
+	copies         []storeCopy    // after each change, in order of time
 }
 
 // count counts a call. A write under a lease is two calls.
@@ -73,7 +75,7 @@
 // before.
 func (s *fakeStore) put(name jackdawbridge.RecordName, value jackdawbridge.Value, lease jackdawbridge.Millis) uint64 {
 	s.lastVersion++
-	version := s.lastVersion
+	version := s.version(s.lastVersion)
 	if table, ok := value.(*jackdawbridge.Table); ok {
 		s.tableHistory = append(s.tableHistory, heldRevision{s.h.now, name, table.Revision()})
 	}
@@ -82,13 +84,8 @@
 	} else {
 		s.records[name] = jackdawbridge.NewRecord(name, version, value)
 	}
-	if lease > 0 {
-		s.h.after(lease, func() {
-			if s.records[name].Version() == version {
-				s.put(name, nil, 0)
-			}
-		})
-	}
+	s.expire(name, version, lease)
+	s.keepCopy(name, lease)
 	waiting := s.pendingWatches
 	s.pendingWatches = nil
 	for _, w := range waiting {
@@ -108,9 +105,10 @@
 }
 
 func (s *fakeStore) answer(n *fakeNode, name jackdawbridge.RecordName, status jackdawbridge.StoreStatus, record jackdawbridge.Record, watch bool, delay jackdawbridge.Millis) {
+	era := s.answeringEra(status)
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-			loaded := jackdawbridge.NewStoreLoaded(at, name, status, record)
+			loaded := jackdawbridge.WithEra(jackdawbridge.NewStoreLoaded(at, name, status, record), era)
 			if watch {
 				return loaded.AsWatch()
 			}
@@ -153,9 +151,10 @@
 	if s.unreachable(n) {
 		status, delay, records = jackdawbridge.StoreFailed, s.failDelay(), nil
 	}
+	era := s.answeringEra(status)
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-			return jackdawbridge.NewTablesLoaded(at, started, status, records)
+			return jackdawbridge.WithEra(jackdawbridge.NewTablesLoaded(at, started, status, records), era)
 		})
 	})
 }
@@ -178,9 +177,10 @@
 	if s.unreachable(n) {
 		status, delay, records = jackdawbridge.StoreFailed, s.failDelay(), nil
 	}
+	era := s.answeringEra(status)
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-			return jackdawbridge.NewStoreScanned(at, prefix, status, records)
+			return jackdawbridge.WithEra(jackdawbridge.NewStoreScanned(at, prefix, status, records), era)
 		})
 	})
 }
@@ -263,9 +263,10 @@
 		s.lostAnswers--
 		status, delay = jackdawbridge.StoreFailed, storeTimeout
 	}
+	era := s.answeringEra(status)
 	s.h.after(delay, func() {
 		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-			return jackdawbridge.NewStoreSwapped(at, name, status, current)
+			return jackdawbridge.WithEra(jackdawbridge.NewStoreSwapped(at, name, status, current), era)
 		})
 	})
 }
--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -176,11 +176,13 @@
 }
 
 // confirm handles the digest in a peer's answer to a probe; sent is when the probe
-// was sent. A digest in another message proves nothing, since it may have been delayed. The platform confirmed the peer's revisions no earlier than sent minus
-// the age in the digest. That confirms this node's tables too if they are as new.
+// was sent. A digest in another message proves nothing, since it may have been delayed. The
+// platform confirmed the peer's revisions no earlier than sent minus the age in the digest.
+// That confirms this node's tables too if they are the same. An older table of a peer
+// confirms nothing, since the store may have come back from an older copy.
 func (p *settings) confirm(sent jackdawbridge.Millis, digest jackdawbridge.Digest) {
 	before := p.confirmedAge()
-	if p.config.revision() >= digest.Config() && p.keys.revision() >= digest.Keys() && digest.SinceConfirmed() >= 0 {
+	if p.config.revision() == digest.Config() && p.keys.revision() == digest.Keys() && digest.SinceConfirmed() >= 0 {
 		p.confirmAt(&p.config, sent-digest.SinceConfirmed())
 		p.confirmAt(&p.keys, sent-digest.SinceConfirmed())
 	}
--- a/reducer/witness.go
+++ b/reducer/witness.go
@@ -85,6 +85,10 @@
 		return
 	}
 	p.adopt(m.Ranges(), m.Version())
+	if p.localRanges.Epoch() == m.Ranges().Epoch() && !sameRanges(p.localRanges, m.Ranges()) {
+		p.r.send(from, jackdawbridge.NewRangesUpdate(from.DataCentre(), p.version, p.localRanges))
+		return
+	}
 	if p.canPromise(m.Ranges().Epoch()) {
 		p.r.send(from, jackdawbridge.NewPromise(m.Ranges().Epoch()))
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackdawbridge/jackdawbridge/platform"
@@ -20,6 +21,7 @@
 	minTTL        = time.Second      // shortest lease granted
 	maxTTL        = 10 * time.Minute // longest lease granted
 	maxEvents     = 4096             // events kept for watches
+	maxCopies     = 256              // earlier states kept to come back from
 	maxPage       = 2                // items of a scan, few so that tests need several pages
 	maxTxnEntries = 32               // limit for the preconditions, puts and deletes of one transaction together
 )
@@ -27,12 +29,13 @@
 // Control is the body of /control: PUT sets the faults to inject, and GET returns
 // them with the number of calls so far.
 type Control struct {
-	Down        bool             `json:"down"`            // close connections without an answer
-	DelayMillis int64            `json:"slow"`            // delay before a call is handled, in milliseconds
-	LateMillis  int64            `json:"late"`            // delay of the answer to a read after the item was read, in milliseconds
-	LoseAnswers int              `json:"lose"`            // number of the next changes that take effect but are not answered
-	Compact     bool             `json:"compact"`         // drop the history for watches, once
-	Calls       map[string]int64 `json:"calls,omitempty"` // number of calls by kind: get, watch, put (writes and leases); returned by GET only
+	Down         bool             `json:"down"`             // close connections without an answer
+	DelayMillis  int64            `json:"slow"`             // delay before a call is handled, in milliseconds
+	LateMillis   int64            `json:"late"`             // delay of the answer to a read after the item was read, in milliseconds
+	LoseAnswers  int              `json:"lose"`             // number of the next changes that take effect but are not answered
+	Compact      bool             `json:"compact"`          // drop the history for watches, once
+	ReturnMillis *int64           `json:"return,omitempty"` // come back from a copy of this age in milliseconds, once; what operators wrote since is kept
+	Calls        map[string]int64 `json:"calls,omitempty"`  // number of calls by kind: get, watch, put (writes and leases); returned by GET only
 }
 
 // Platform is an in-memory server for the protocol of package platform. A single
@@ -43,6 +46,8 @@
 	mu          sync.Mutex
 	control     Control
 	revision    uint64
+	era         atomic.Uint64 // rises each time the platform comes back from an older copy
+	copies      []itemCopy    // after each change, at most maxCopies
 	items       map[string]platform.Item
 	events      []platform.Item        // in order of revision, at most maxEvents
 	droppedUpTo uint64                 // events up to this revision are no longer kept
@@ -70,7 +75,9 @@
 
 // ServeHTTP serves the protocol, /control, and /operator, through which an operator
 // writes any item.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mux.ServeHTTP(&eraWriter{ResponseWriter: w, platform: p}, r)
+}
 
 // Close stops the timers of all leases, so that no lease expires.
 func (p *Platform) Close() {
@@ -156,7 +163,7 @@
 	p.beginCall(r, "watch")
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWatch))
 	defer timer.Stop()
-	for expired := false; ; {
+	for expired, era := false, p.era.Load(); ; {
 		events, complete, changed := p.eventsSince(query.Get("prefix"), after)
 		if !complete {
 			http.Error(w, "history is no longer available", http.StatusGone)
@@ -169,6 +176,9 @@
 		select {
 		case <-changed:
 			p.abortIfDown()
+			if p.era.Load() != era {
+				panic(http.ErrAbortHandler) // it was away for a moment
+			}
 		case <-timer.C:
 			expired = true
 		case <-r.Context().Done():
@@ -189,7 +199,7 @@
 			events.Events = append(events.Events, e)
 		}
 	}
-	return events, after >= p.droppedUpTo, p.changed
+	return events, after >= p.droppedUpTo && after <= p.revision, p.changed
 }
 
 func (p *Platform) txn(w http.ResponseWriter, r *http.Request) {
@@ -276,6 +286,7 @@
 
 // publish records an event and wakes the watches. The caller holds p.mu.
 func (p *Platform) publish(event platform.Item) {
+	p.keepCopy()
 	p.events = append(p.events, event)
 	if len(p.events) > maxEvents {
 		p.droppedUpTo = p.events[0].Revision
@@ -352,6 +363,10 @@
 		next.Compact = false
 		p.events, p.droppedUpTo = nil, p.revision
 	}
+	if next.ReturnMillis != nil {
+		p.returnFrom(time.Duration(*next.ReturnMillis) * time.Millisecond)
+		next.ReturnMillis = nil
+	}
 	calls := p.control.Calls
 	p.control = next
 	p.control.Calls = calls
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -72,7 +72,9 @@
 	if p == nil {
 		d.fail(errors.New("digest is missing"))
 	}
-	return jackdawbridge.NewDigest(p.GetConfig(), p.GetKeys(), p.GetEpoch(), jackdawbridge.Millis(p.GetConfirmed())).WithMaybeStale(p.GetDoubtful())
+	era := jackdawbridge.NewEraDigest(p.GetEra(), p.GetInformed(), jackdawbridge.Millis(p.GetReturned()))
+	return jackdawbridge.NewDigest(p.GetConfig(), p.GetKeys(), p.GetEpoch(), jackdawbridge.Millis(p.GetConfirmed())).
+		WithMaybeStale(p.GetDoubtful()).WithEra(era)
 }
 
 func (d *decoder) rumor(p *pb.Rumor) jackdawbridge.Rumor {
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -39,7 +39,10 @@
 }
 
 func fromDigest(d jackdawbridge.Digest) *pb.Digest {
-	return &pb.Digest{Config: d.Config(), Keys: d.Keys(), Epoch: d.RangesProgress(), Confirmed: int64(d.SinceConfirmed()), Doubtful: d.MaybeStale()}
+	return &pb.Digest{
+		Config: d.Config(), Keys: d.Keys(), Epoch: d.RangesProgress(), Confirmed: int64(d.SinceConfirmed()), Doubtful: d.MaybeStale(),
+		Era: d.Era().Current(), Informed: d.Era().Informed(), Returned: int64(d.Era().SinceReturn()),
+	}
 }
 
 func fromRumor(r jackdawbridge.Rumor) *pb.Rumor {
