Merge the store that comes back from an older copy

Evacuations take part in eras: items of the operators are ordered by (era, revision), a position in the revision of the config table has six bits of the era, and evacuations of the era before are kept for 30 s after a return, in which the operators write again what the store has lost, unless they are ended in the new era.

--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -139,6 +139,7 @@
 	departures departures
 	warmup     warmup
 	evacuation evacuation
+	eras       eras
 }
 
 var _ jackdawbridge.Reducer = (*Reducer)(nil)
@@ -169,6 +170,7 @@
 	r.departures = newDepartures(r, options.firstStart)
 	r.warmup = newWarmup(r)
 	r.evacuation = newEvacuation(r)
+	r.eras = newEras(r, options.firstStart)
 	return r, nil
 }
 
@@ -176,6 +178,9 @@
 func (r *Reducer) Apply(event jackdawbridge.Event, effects *jackdawbridge.Effects) {
 	r.fx = effects
 	r.advance(event.At())
+	if result, ok := event.(jackdawbridge.StoreResult); ok {
+		r.eras.answered(result)
+	}
 	switch e := event.(type) {
 	case *jackdawbridge.Tick:
 	case *jackdawbridge.CallArrived:
@@ -283,6 +288,7 @@
 		return
 	}
 	r.members.observe(from)
+	r.eras.observe(from.Node(), frame.Digest().Era())
 	r.settings.observe(from, frame.Digest())
 	r.authority.observe(from, frame.Digest())
 	r.shares.observe(from, frame.Digest())
@@ -378,5 +384,5 @@
 		r.settings.revision(jackdawbridge.KeysTable),
 		r.authority.rangesProgress(),
 		r.settings.confirmedAge(),
-	)
+	).WithEra(r.eras.digest())
 }
