cmd/jackdawbridge: process tests of pipelined requests

Cause: callers may send requests before the first is answered; what lies behind an answer that closes the connection must not be passed on, and nothing showed that.

Change: TestProcesses/pipeline, with real processes: answers in order, refusals that keep and that close the connection, a body that no server reads, a caller that leaves, a stop during the first of three requests.

--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -86,6 +86,7 @@
 	keys      map[string]string         // key by the name that the script uses for it
 	load      *load
 	leave     context.CancelFunc // ends the calls of the last hold
+	pipelined *pipeline          // the last one
 }
 
 func newFleet(t *testing.T, bin string) *fleet {
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -85,6 +85,14 @@
 	case "await-calls":
 		want, _ := strconv.Atoi(arg(d, "count"))
 		return "", f.awaitCalls(arg(d, "node"), func(calls int) bool { return calls <= want })
+	case "pipeline":
+		return "", f.pipeline(d)
+	case "answers":
+		return f.answersInOrder()
+	case "abandon":
+		return "", f.pipelined.conn.Close()
+	case "busy":
+		return "", f.awaitCalls(arg(d, "node"), func(calls int) bool { return calls >= 1 })
 	case "arrived": // requests that the backend server has received with a body of the given size
 		return strconv.Itoa(strings.Count(f.processes[arg(d, "process")].out.String(), fmt.Sprintf(`"body":%s}`, arg(d, "body")))), nil
 	case "ends":
