--- a/node/admin.go
+++ b/node/admin.go
@@ -70,6 +70,13 @@
 	n.metrics.set("runs_in_progress", int64(s.Runs()))
 	n.metrics.set("runs_waiting", int64(s.Waiting()))
 	n.metrics.set("runs_limit", int64(s.Limit()))
+	n.metrics.set("backend_cold_left_milliseconds", int64(s.ColdLeft()))
+	n.metrics.set("backend_cold_refused", int64(s.ColdRefused()))
+	evacuated := int64(0)
+	if s.Evacuated() {
+		evacuated = 1
+	}
+	n.metrics.set("data_centre_evacuated", evacuated)
 	n.metrics.set("members", int64(s.Members()))
 	n.metrics.set("ranges_epoch", int64(s.Digest().RangesProgress()))
 	n.metrics.set("tables_confirmed_age_milliseconds", int64(s.Digest().SinceConfirmed()))
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -10,5 +10,6 @@
 	ready := r.settings.ready() && !r.drain.stopping
 	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
 		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
-		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit())
+		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
+		WithSlowStart(r.warmup.left(), r.warmup.refused, r.evacuation.since != 0)
 }
--- a/reducer/warmup.go
+++ b/reducer/warmup.go
@@ -21,7 +21,8 @@
 	announces int                  // slots that the backend server announced last
 	until     jackdawbridge.Millis // when the backend server is warm, 0 if it is
 	starts    *window.Bound        // starts of requests; nil until the service of the backend server is known to have a slow start
-	refused   int                  // requests refused since it became cold
+	refused   int                  // requests refused since the start of the process
+	before    int                  // refused when the backend server became cold
 }
 
 func newWarmup(r *Reducer) warmup { return warmup{r: r} }
@@ -34,6 +35,9 @@
 // cold reports whether the backend server is cold.
 func (p *warmup) cold() bool { return p.r.now < p.until }
 
+// left returns for how long the backend server is still cold, 0 if it is not.
+func (p *warmup) left() jackdawbridge.Millis { return max(p.until-p.r.now, 0) }
+
 // announced records how much longer the backend server is cold.
 func (p *warmup) announced(e *jackdawbridge.BackendAnnounced) {
 	p.announces = e.Slots()
@@ -52,7 +56,7 @@
 	}
 	switch {
 	case p.cold() && !was:
-		p.refused = 0
+		p.before = p.refused
 		line := p.r.fx.Log(jackdawbridge.PartAdmit, "backend server is cold, requests to it are limited").Duration("left_ms", until-p.r.now)
 		if s := p.slowStart(); s != nil {
 			limit, span := s.Bound()
@@ -65,7 +69,7 @@
 
 // warm logs the end of the time in which the backend server was cold.
 func (p *warmup) warm() {
-	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server is warm").Int("refused", int64(p.refused))
+	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server is warm").Int("refused", int64(p.refused-p.before))
 }
 
 // evacuationEnded assumes that the backend server is cold, since it had nothing to do while
--- a/status.go
+++ b/status.go
@@ -11,6 +11,10 @@
 	waiting  int // how many of the runs wait
 	limit    int // concurrent runs that are allowed
 	members  int // other nodes in the member list
+
+	coldLeft    Millis // how long the local backend server is still cold, 0 if it is not
+	coldRefused int    // requests refused because it was cold
+	evacuated   bool   // the data centre of the node is evacuated
 }
 
 // NewStatus returns the status of a node.
@@ -34,6 +38,25 @@
 	return s
 }
 
+// WithSlowStart returns s with the time for which the local backend server is still cold, the
+// requests that were refused while it was cold, and whether its data centre is evacuated.
+func (s Status) WithSlowStart(coldLeft Millis, coldRefused int, evacuated bool) Status {
+	s.coldLeft = coldLeft
+	s.coldRefused = coldRefused
+	s.evacuated = evacuated
+	return s
+}
+
+// ColdLeft returns for how long the local backend server is still cold, 0 if it is not.
+func (s Status) ColdLeft() Millis { return s.coldLeft }
+
+// ColdRefused returns the number of requests that were refused because the local backend
+// server was cold.
+func (s Status) ColdRefused() int { return s.coldRefused }
+
+// Evacuated reports whether the data centre of the node is evacuated.
+func (s Status) Evacuated() bool { return s.evacuated }
+
 // Self returns the node as it announces itself.
 func (s Status) Self() Peer { return s.self }
 
