--- a/node/store.go
+++ b/node/store.go
@@ -106,9 +106,11 @@
 	n.apply(jackdawbridge.WithEra(jackdawbridge.NewStoreSwapped(n.now(), name, storeStatus(err), next), n.deps.store.Era()))
 }
 
-// countStoreCall counts the result of a call to the platform and logs a failure.
+// countStoreCall counts the result of a call to the platform, notes the era, and logs a
+// failure.
 func (n *Node) countStoreCall(name jackdawbridge.RecordName, err error) {
 	n.metrics.count("store_" + storeStatus(err).String())
+	n.metrics.set("store_era", int64(n.deps.store.Era()))
 	if err != nil && n.ctx.Err() == nil {
 		n.log.warn("node: call to the platform failed", "record", string(name), "error", err)
 	}
--- a/reducer/eras_test.go
+++ b/reducer/eras_test.go
@@ -115,6 +115,23 @@
 	f.h.store.extraDelay = jackdawbridge.Millis(rapid.IntRange(0, 300).Draw(t, "slow"))
 }
 
+func (f *eraFaults) cut(t *rapid.T) {
+	f.h.cutAll(f.node(t).name, f.node(t).name, true, rapid.Bool().Draw(t, "both ways"))
+}
+
+func (f *eraFaults) heal(*rapid.T) { clear(f.h.cuts) }
+
+func (f *eraFaults) freeze(t *rapid.T) {
+	if n := f.node(t); n.up() {
+		f.h.freeze(n.name, jackdawbridge.Millis(rapid.IntRange(1, 15_000).Draw(t, "ms")))
+	}
+}
+
+// stray cuts a node off from the store, or restores its connection.
+func (f *eraFaults) stray(t *rapid.T) {
+	f.h.store.cutOff([]string{f.node(t).name}, rapid.Bool().Draw(t, "cut"))
+}
+
 func (f *eraFaults) run(t *rapid.T) {
 	f.h.run(jackdawbridge.Millis(rapid.IntRange(1, 10_000).Draw(t, "ms")))
 }
@@ -139,6 +156,11 @@
 func (f *eraFaults) recover(t *rapid.T) {
 	s := f.h.store
 	s.lostAnswers, s.extraDelay = 0, 0
+	if len(f.h.cuts) > 0 || slices.Contains(slices.Collect(maps.Values(s.cut)), true) || f.frozen() {
+		clear(f.h.cuts)
+		s.cutOff(f.h.nodeNames, false)
+		f.h.run(recoveryLimit)
+	}
 	s.publishAgain()
 	writes := s.writes
 	f.h.run(departureAgainLimit)
@@ -167,6 +189,11 @@
 	}
 }
 
+// frozen reports whether a process is frozen.
+func (f *eraFaults) frozen() bool {
+	return slices.ContainsFunc(f.h.nodeNames, func(name string) bool { return f.h.nodes[name].frozen })
+}
+
 // checkRecords reports records that the store has not in the state that the nodes have.
 func (f *eraFaults) checkRecords(t *rapid.T) {
 	stored, _ := f.h.store.records[jackdawbridge.RangesRecord("one")].Value().(*jackdawbridge.Ranges)
@@ -201,6 +228,10 @@
 			"restart": f.restart,
 			"kill":    f.kill,
 			"lose":    f.lose,
+			"cut":     f.cut,
+			"heal":    f.heal,
+			"freeze":  f.freeze,
+			"stray":   f.stray,
 			"run":     f.run,
 		})
 		f.recover(t)
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -154,6 +154,15 @@
 		h.store.lostAnswers = intArg(d, "lose", 0)
 		h.store.extraDelay = jackdawbridge.Millis(intArg(d, "slow", 0))
 		h.store.failAfter = jackdawbridge.Millis(intArg(d, "hang", 0))
+	case "store-era":
+		h.store.era = uint64(intArg(d, "number", 1))
+	case "store-return":
+		h.store.returnFrom(jackdawbridge.Millis(intArg(d, "age", 0)))
+	case "store-publish":
+		h.store.publishAgain()
+	case "store-has":
+		_, ok := h.store.records[jackdawbridge.RecordName(arg(d, "name", ""))]
+		return strconv.FormatBool(ok), nil
 	case "service-time":
 		h.nodes[arg(d, "node", "")].serviceTime = jackdawbridge.Millis(intArg(d, "ms", 5))
 	case "call":
