node, reducer: an era that begins with 0, and a result of a call during a return

A store whose first era is 0 returned unnoticed, since 0 stood for unknown; a result that arrived while another call named a new era could be taken for one of that era.

--- a/node/store.go
+++ b/node/store.go
@@ -20,17 +20,18 @@
 func (n *Node) loadRecord(name jackdawbridge.RecordName) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	era := n.deps.store.Era()
 	record, err := n.deps.store.Load(ctx, name)
-	n.apply(n.loadedEvent(name, record, err))
+	n.apply(inEra(n, era, n.loadedEvent(name, record, err)))
 }
 
 // loadTables reads both tables and reports them to the reducer.
 func (n *Node) loadTables(e *jackdawbridge.LoadTables) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	started := n.now()
+	started, era := n.now(), n.deps.store.Era()
 	records, err := n.readTables(ctx, e)
-	n.apply(jackdawbridge.WithEra(jackdawbridge.NewTablesLoaded(n.now(), started, storeStatus(err), records), n.deps.store.Era()))
+	n.apply(inEra(n, era, jackdawbridge.NewTablesLoaded(n.now(), started, storeStatus(err), records)))
 }
 
 // readTables returns the records of both tables. One that cannot be decoded has no
@@ -70,9 +71,10 @@
 func (n *Node) scanRecords(prefix jackdawbridge.RecordName) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	era := n.deps.store.Era()
 	records, err := n.deps.store.Scan(ctx, prefix)
 	n.countStoreCall(prefix, err)
-	n.apply(jackdawbridge.WithEra(jackdawbridge.NewStoreScanned(n.now(), prefix, storeStatus(err), records), n.deps.store.Era()))
+	n.apply(inEra(n, era, jackdawbridge.NewStoreScanned(n.now(), prefix, storeStatus(err), records)))
 }
 
 // watchRecord waits for a change of a record and reports it to the reducer. If
@@ -81,19 +83,21 @@
 func (n *Node) watchRecord(name jackdawbridge.RecordName, version uint64) {
 	ctx, cancel := context.WithTimeout(n.ctx, watchTimeout)
 	defer cancel()
+	era := n.deps.store.Era()
 	record, err := n.deps.store.Watch(ctx, name, version)
 	if err != nil && ctx.Err() != nil {
 		loadCtx, cancelLoad := context.WithTimeout(n.ctx, storeTimeout)
 		defer cancelLoad()
+		era = n.deps.store.Era()
 		record, err = n.deps.store.Load(loadCtx, name)
 	}
-	n.apply(n.loadedEvent(name, record, err).AsWatch())
+	n.apply(inEra(n, era, n.loadedEvent(name, record, err).AsWatch()))
 }
 
 // loadedEvent counts the result of a read and returns the event for it.
 func (n *Node) loadedEvent(name jackdawbridge.RecordName, record jackdawbridge.Record, err error) *jackdawbridge.StoreLoaded {
 	n.countStoreCall(name, err)
-	return jackdawbridge.WithEra(jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record), n.deps.store.Era())
+	return jackdawbridge.NewStoreLoaded(n.now(), name, storeStatus(err), record)
 }
 
 // swapRecord replaces a record if it still has the given version and reports the
@@ -101,9 +105,21 @@
 func (n *Node) swapRecord(name jackdawbridge.RecordName, version uint64, value jackdawbridge.Value, lease jackdawbridge.Millis) {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
+	era := n.deps.store.Era()
 	next, err := n.deps.store.Swap(ctx, name, version, value, lease)
 	n.countStoreCall(name, err)
-	n.apply(jackdawbridge.WithEra(jackdawbridge.NewStoreSwapped(n.now(), name, storeStatus(err), next), n.deps.store.Era()))
+	n.apply(inEra(n, era, jackdawbridge.NewStoreSwapped(n.now(), name, storeStatus(err), next)))
+}
+
+// inEra returns the result of a call that began in the given era of the store. If the era
+// has changed meanwhile, it is unknown in which one the store answered, and the result counts
+// as none. The first answer of all names the era.
+func inEra[E jackdawbridge.StoreResult](n *Node, began uint64, result E) E {
+	era := n.deps.store.Era()
+	if began != 0 && era != began {
+		result.Discard()
+	}
+	return jackdawbridge.WithEra(result, era)
 }
 
 // countStoreCall counts the result of a call to the platform, notes the era, and logs a
--- a/reducer/eras.go
+++ b/reducer/eras.go
@@ -23,6 +23,7 @@
 type eras struct {
 	r        *Reducer
 	current  uint64               // highest era heard of, 0 if none or if the store has no eras; never falls
+	known    bool                 // the store has answered this process, or a peer has named an era
 	returned jackdawbridge.Millis // when the last return known was first noticed, 0 if none is known
 	informed bool                 // this process would know of a return within departureLease, by itself or from a peer
 }
@@ -33,11 +34,12 @@
 // none, since its record or write may be gone.
 func (p *eras) answered(e jackdawbridge.StoreResult) {
 	switch {
-	case e.Era() == 0 || e.Era() == p.current:
 	case e.Era() < p.current:
 		e.Discard()
-	case p.current == 0:
-		p.current = e.Era()
+	case e.Era() == p.current:
+		p.known = p.known || e.Status() != jackdawbridge.StoreFailed
+	case !p.known:
+		p.current, p.known = e.Era(), true
 	default:
 		p.begin(e.Era(), p.r.now, jackdawbridge.Node{})
 	}
@@ -57,8 +59,8 @@
 			p.returned, p.informed = p.r.now, true
 		}
 		return
-	case p.current == 0:
-		p.current, p.returned = digest.Current(), returned
+	case !p.known:
+		p.current, p.known, p.returned = digest.Current(), true, returned
 	case digest.Current() > p.current:
 		if returned == 0 {
 			returned = p.r.now
@@ -74,7 +76,7 @@
 func (p *eras) begin(era uint64, returned jackdawbridge.Millis, from jackdawbridge.Node) {
 	p.r.fx.Warn(jackdawbridge.PartSettings, "the store came back from an older copy: its records are read again and lost ones are written again").
 		About("", from).Int("era", int64(era)).Int("before", int64(p.current))
-	p.current, p.returned, p.informed = era, returned, true
+	p.current, p.known, p.returned, p.informed = era, true, returned, true
 	p.r.settings.eraBegan()
 	p.r.members.eraBegan()
 	p.r.authority.eraBegan()
--- a/reducer/eras_test.go
+++ b/reducer/eras_test.go
@@ -30,7 +30,7 @@
 
 func newEraFaults(t *rapid.T) *eraFaults {
 	h := newHarness()
-	h.store.era = 1
+	h.store.era, h.store.keepCopies = rapid.Uint64Range(0, 1).Draw(t, "era"), true
 	h.options = []datadriven.CmdArg{{Key: "apply", Vals: []string{"2000"}}}
 	f := &eraFaults{h: h, rates: newShareChecker(h), departed: make(map[string]jackdawbridge.Millis), sequence: 1}
 	rated := h.afterStep
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -155,7 +155,7 @@
 		h.store.extraDelay = jackdawbridge.Millis(intArg(d, "slow", 0))
 		h.store.failAfter = jackdawbridge.Millis(intArg(d, "hang", 0))
 	case "store-era":
-		h.store.era = uint64(intArg(d, "number", 1))
+		h.store.era, h.store.keepCopies = uint64(intArg(d, "number", 1)), true
 	case "store-return":
 		h.store.returnFrom(jackdawbridge.Millis(intArg(d, "age", 0)))
 	case "store-publish":
--- a/reducer/store_copy_test.go
+++ b/reducer/store_copy_test.go
@@ -40,9 +40,9 @@
 	})
 }
 
-// keepCopy keeps a copy of the records after the change of one, if the store has eras.
+// keepCopy keeps a copy of the records after the change of one, if it may be needed.
 func (s *fakeStore) keepCopy(changed jackdawbridge.RecordName, lease jackdawbridge.Millis) {
-	if s.era == 0 {
+	if !s.keepCopies {
 		return
 	}
 	leases := make(map[jackdawbridge.RecordName]jackdawbridge.Millis)
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -29,6 +29,7 @@
 	writes         int
 	calls          map[string]int // by verb and kind of record
 	era            uint64         // 0 for a store without eras
+	keepCopies     bool           // the store may come back from an older copy
 	copies         []storeCopy    // after each change, in order of time
 }
 
