admission, reducer: a service's nodes grant second tries by precedence

Second tries were spent by each caller's node, first come, first served, mostly on trees that failed all the same. The node beside the backend server that rejects now grants them: first arrivals earn them, repeats that arrive are charged, and a threshold by precedence gives some trees all that they need and the others none. The caller's node keeps half of the budget for failures without an answer. A run returns what its calls used.

--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -127,6 +127,7 @@
 	u.state = runRunning
 	u.began = p.r.now
 	u.inFlight = p.running
+	p.tries.Arrive(p.r.now, u.envelope.Repeated())
 	binary.LittleEndian.PutUint64(u.token[:8], p.r.random.Uint64())
 	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
 	p.tokens[u.token] = u
@@ -200,7 +201,7 @@
 		busy-- // the request itself
 	}
 	occupancy := jackdawbridge.NewOccupancy(busy, p.limiter.Limit())
-	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived)
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived).WithUsage(p.usage(u))
 }
 
 // byToken returns the run that a call of the backend server belongs to.
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -124,6 +124,7 @@
 	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, p.r.routes.destination(c.request.Service(), route), route.Criticality(), c.request.Budget()).
 		WithPaidPriority(paid).
 		WithIdempotent(route.Idempotent())
+	c.envelope = c.envelope.WithPrecedence(p.precedence(c))
 	if parent, ok := p.r.runs.requests[c.request.Parent()]; ok && account == "" {
 		p.linkToRun(c, parent)
 	}
@@ -144,6 +145,8 @@
 	c.envelope = c.envelope.
 		WithCriticality(parent.envelope.Criticality()).
 		WithPaidPriority(parent.envelope.PaidPriority()).
+		WithPrecedence(parent.envelope.Precedence()).
+		WithRepeated(parent.envelope.Repeated()).
 		WithDepth(min(parent.envelope.Depth()+1, jackdawbridge.MaxDepth))
 }
 
@@ -285,6 +288,7 @@
 		p.r.routes.upstreamSeen(c.target)
 	}
 	p.learn(c, feedback.Level())
+	p.learnUsage(c, &feedback)
 	if e.ConnectionRefused() {
 		p.r.members.connectionRefused(c.target)
 	}
@@ -298,8 +302,8 @@
 		return
 	}
 	c.maybeRan = c.maybeRan || e.Outcome() == jackdawbridge.Unknown
-	if p.mayRetry(c, e.Outcome(), e.Reason()) {
-		p.retry(c, e.Outcome(), e.Reason())
+	if p.mayRetry(c, e.Outcome(), e.Reason(), &feedback) {
+		p.retry(c, e.Outcome(), e.Reason(), &feedback)
 		return
 	}
 	p.refuse(c, p.failure(c, e.Reason()))
--- a/reducer/reach.go
+++ b/reducer/reach.go
@@ -122,13 +122,13 @@
 func (p *calls) retryUnreachable(node jackdawbridge.Node) {
 	var retryable []*call
 	for _, c := range p.active {
-		if c.stage == stageForward && c.target == node && p.mayRetry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed) {
+		if c.stage == stageForward && c.target == node && p.mayRetry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, &jackdawbridge.Feedback{}) {
 			retryable = append(retryable, c)
 		}
 	}
 	slices.SortFunc(retryable, func(a, b *call) int { return cmp.Compare(a.id, b.id) })
 	for _, c := range retryable {
-		if !p.mayRetry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed) {
+		if !p.mayRetry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, &jackdawbridge.Feedback{}) {
 			return // the retry budget is used up
 		}
 		p.r.routes.attemptEnded(node, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, jackdawbridge.Feedback{})
@@ -136,6 +136,6 @@
 		c.maybeRan = true
 		c.allowance += c.passedRetries
 		c.passedRetries = 0
-		p.retry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed)
+		p.retry(c, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, &jackdawbridge.Feedback{})
 	}
 }
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 )
 
 // FreezeGap is the gap between two events above which the reducer assumes that
@@ -152,8 +153,9 @@
 	}
 	r := &Reducer{self: options.self, now: at, started: at, random: rand.NewChaCha8(options.seed)}
 	r.calls = newCalls(r)
-	r.calls.retryBudgets.permille, r.calls.retryBudgets.burst = options.retryBudget.permille, options.retryBudget.burst
+	r.calls.retryBudgets.permille, r.calls.retryBudgets.burst = options.retryBudget.permille/unansweredPart, options.retryBudget.burst
 	r.runs = newRuns(r, options.limiter, options.queue)
+	r.runs.tries = admission.NewTries(options.retryBudget.permille, options.retryBudget.burst)
 	r.routes = newRoutes(r, options.picker)
 	r.shares = newShares(r)
 	r.shares.floors = options.floors
--- a/reducer/retry_budget.go
+++ b/reducer/retry_budget.go
@@ -9,13 +9,17 @@
 	// defaultRetryBurst is the default number of retries of a service that may
 	// accumulate.
 	defaultRetryBurst = 10
+	// unansweredPart is the divisor of that part for the retries that the caller's node
+	// decides alone, because no answer of the service's node grants or denies them.
+	unansweredPart = 2
 	// maxBudgets is the maximum number of services with a budget.
 	maxBudgets = 4096
 )
 
-// retryBudgets limits, for each service, the retries that reach a backend server
-// after another one has received the request. Retries of requests that no backend
-// server has received add no load there and are not limited.
+// retryBudgets limits, for each service, the retries that may reach a backend server
+// after another one may have received the request, where the node of that one has not
+// decided: it did not answer. Retries of requests that no backend server has received
+// add no load there and are not limited.
 type retryBudgets struct {
 	permille int                               // thousandths of a retry that each call earns
 	burst    int                               // maximum balance, in retries
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -3,8 +3,10 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
 )
@@ -35,6 +37,7 @@
 	children      int                  // number of those calls in progress
 	childrenSince jackdawbridge.Millis // when children last rose above 0
 	childTime     jackdawbridge.Millis // total time with calls in progress before childrenSince
+	usage         jackdawbridge.Usage  // of those calls, from their answers
 }
 
 // runs is the part that admits forwarded requests to the local backend server. A run
@@ -55,6 +58,7 @@
 	nextExclusive *run                                // exclusive request that waits until nothing else runs
 	exclusive     *run                                // exclusive request that is running
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
+	tries         *admission.Tries
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -64,6 +68,7 @@
 		tokens:   make(map[jackdawbridge.Token]*run),
 		requests: make(map[jackdawbridge.RequestID]*run),
 		free:     pool.New[run](64),
+		tries:    admission.NewTries(defaultRetryPermille, defaultRetryBurst),
 	}
 }
 
@@ -186,9 +191,13 @@
 	if !ok || u.state != runRunning {
 		return
 	}
-	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance))
+	granted := p.grantRetry(u, e.Reason())
+	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance).WithRetryGranted(granted))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused a request").About(u.envelope.ID(), p.r.self.Node()).
-		Str("reason", e.Reason().String()).Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit()))
+		Str("reason", e.Reason().String()).Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit())).
+		Str("second_try", strconv.FormatBool(granted)).Int("precedence", int64(u.envelope.Precedence())).
+		Int("retry_threshold", int64(p.tries.Threshold(p.r.now))).Int("tries_left", int64(p.tries.Balance())).
+		Int("rejected_permille", int64(p.tries.Rejected(p.r.now)))
 	p.end(u, true)
 	p.dispatch()
 }
