admission, reducer: second tries go where a whole request is gained for the fewest

A tree of four calls that may repeat one of them fails like one that may repeat none. The precedence of a call now rises with the calls that its run has behind it, by the mean of the runs of its class that were served, so that tries go to trees that need few more. A call whose allowance is used up may go to the same upstream again if the service grants it, at most four times, so that the attempts of a route still bound the upstreams it reaches.

--- a/admission/tries.go
+++ b/admission/tries.go
@@ -14,6 +14,8 @@
 	one = 1024
 	// burstWindows is the number of windows whose earnings accumulate beyond the burst.
 	burstWindows = 4
+	// correctionDivisor gives the part of a surplus that is granted in one window.
+	correctionDivisor = 2
 	// criticalReserve is the divisor of the burst that gives the part of it that only
 	// critical calls use.
 	criticalReserve = 4
@@ -86,7 +88,7 @@
 	t.advance(at)
 	t.current.rejections++
 	t.rejected.add(p, 1)
-	if p < t.threshold || t.balance < 1000+t.reserve(p) {
+	if !t.allows(p) {
 		return false
 	}
 	t.charge()
@@ -102,12 +104,17 @@
 // charged. Tries that one node of a service grants arrive at the others.
 func (t *Tries) slack() int { return minSlack + t.average.grants/one }
 
-// reserve returns the part of the balance that a call leaves to more important ones.
-func (t *Tries) reserve(p jackdawbridge.Precedence) int {
+// allows reports whether a call gets a second try. Critical calls may use a reserve, and
+// the threshold, which follows averages, binds them only once they do.
+func (t *Tries) allows(p jackdawbridge.Precedence) bool {
+	reserve := t.capacity / criticalReserve
+	if p.Rank() >= jackdawbridge.CriticalRank && t.balance >= 1000+reserve {
+		return true
+	}
 	if p.Rank() >= jackdawbridge.CriticalRank {
-		return 0
+		reserve = 0
 	}
-	return t.capacity / criticalReserve
+	return p >= t.threshold && t.balance >= 1000+reserve
 }
 
 // Threshold returns the precedence below which no second try is granted.
@@ -154,7 +161,8 @@
 	t.demand.fade(&t.rejected)
 	t.capacity = t.burst*1000 + t.average.firsts*t.permille*burstWindows/one
 	t.balance = min(t.balance, t.capacity)
-	// The room is what a window earns, and a quarter of what has accumulated.
-	room := t.average.firsts*t.permille/1000 + t.balance*one/1000/fadeDivisor
+	// The room is what a window earns, corrected so that the balance tends to a half of the
+	// capacity: an empty one denies calls above the threshold.
+	room := t.average.firsts*t.permille/1000 + (t.balance-t.capacity/2)*one/1000/correctionDivisor
 	t.threshold = t.demand.threshold(max(room, 0))
 }
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -50,10 +50,15 @@
 	p.at = now
 }
 
-// runTime returns the typical run time of the class of a request: the requests of
-// the same criticality and call depth.
+// class returns the index of the class of a request: the requests of the same
+// criticality and call depth.
+func (u *run) class() int {
+	return int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1) + u.envelope.Depth()
+}
+
+// runTime returns the typical run time of the class of a request.
 func (p *runs) runTime(u *run) *runTime {
-	return &p.runTimes[int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1)+u.envelope.Depth()]
+	return &p.runTimes[u.class()]
 }
 
 // canStartNow reports whether a new request may run without waiting in the queue.
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -142,11 +142,12 @@
 	}
 }
 
-// hop is one step in the chain of calls of a request kind: the service, and how
-// long its backend server works on the request without overload.
+// hop is one step in the chain of calls of a request kind: the service, how long its
+// backend server works on a call without overload, and the number of calls in a row.
 type hop struct {
 	service jackdawbridge.ServiceName
 	work    jackdawbridge.Millis
+	times   int
 }
 
 // thrashExponent is the exponent by which work slows down in a backend server with
@@ -170,6 +171,7 @@
 	naive     bool             // makes up to naiveAttempts attempts of its calls
 	onStart   func(jackdawbridge.ServiceName, jackdawbridge.Level)
 	onRefused func(jackdawbridge.ServiceName, jackdawbridge.RequestID)
+	rejects   float64                       // part of the runs that are rejected
 	running   int                           // runs in progress
 	jobs      map[jackdawbridge.CallID]*job // by run
 	children  map[jackdawbridge.CallID]*job // by the call that the job is waiting for
@@ -182,12 +184,21 @@
 	token    jackdawbridge.Token // sent with the call to the next service
 	hops     []hop               // remaining hops, beginning with this run's
 	attempts int                 // attempts of the call to the next service
+	made     int                 // calls to the next service that were served
 	ended    bool
 	child    jackdawbridge.CallID // last attempt of that call
 }
 
 // start begins to work on a run.
 func (b *fakeBackend) start(id jackdawbridge.CallID, request *jackdawbridge.Request, token jackdawbridge.Token) {
+	if b.rejects > 0 && b.random.Float64() < b.rejects {
+		b.n.h.after(1, func() {
+			b.n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+				return jackdawbridge.NewRunRejected(at, id, jackdawbridge.BackendFull)
+			})
+		})
+		return
+	}
 	hops := b.chains[request.Path()]
 	envelope := b.n.runs[id].envelope
 	depth := envelope.Depth()
@@ -246,6 +257,9 @@
 	b.n.h.after(0, func() {
 		switch {
 		case j.ended || !b.n.alive:
+		case end.served && end.status == 200 && j.made+1 < j.hops[1].times:
+			j.made++
+			b.callNext(j)
 		case end.served && end.status == 200:
 			b.work(j, func() { b.answer(j, 200) })
 		case b.naive && j.attempts < naiveAttempts:
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -47,6 +47,8 @@
 	config, keys     uint64               // revisions of the tables by which the request was decided
 	startRecorded    bool                 // the start is recorded under the idempotency key
 	maybeRan         bool                 // an attempt may have run
+	repeats          int                  // sends to the same upstream after it rejected the call, at most maxRepeats
+	repeating        bool                 // the next send goes to the same upstream
 	status           int                  // status of the answer that is passed on
 }
 
@@ -145,7 +147,7 @@
 	c.envelope = c.envelope.
 		WithCriticality(parent.envelope.Criticality()).
 		WithPaidPriority(parent.envelope.PaidPriority()).
-		WithPrecedence(parent.envelope.Precedence()).
+		WithPrecedence(p.r.runs.childPrecedence(parent)).
 		WithRepeated(parent.envelope.Repeated()).
 		WithDepth(min(parent.envelope.Depth()+1, jackdawbridge.MaxDepth))
 }
@@ -170,6 +172,7 @@
 	c.envelope = parent.envelope.
 		WithService(p.r.routes.destination(c.request.Service(), route)).
 		WithDepth(parent.envelope.Depth() + 1).
+		WithPrecedence(p.r.runs.childPrecedence(parent)).
 		WithIdempotent(route.Idempotent())
 	return jackdawbridge.NoReason
 }
@@ -250,7 +253,7 @@
 
 // forward sends the next attempt to an upstream, or refuses the call if there is none.
 func (p *calls) forward(c *call) {
-	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
+	target, ok := p.pick(c)
 	if !ok {
 		p.refuse(c, p.failure(c, p.r.routes.unavailable(c.envelope.Service())))
 		return
@@ -288,7 +291,7 @@
 		p.r.routes.upstreamSeen(c.target)
 	}
 	p.learn(c, feedback.Level())
-	p.learnUsage(c, &feedback)
+	p.learnUsage(c, &feedback, e.Outcome() == jackdawbridge.Served)
 	if e.ConnectionRefused() {
 		p.r.members.connectionRefused(c.target)
 	}
--- a/reducer/figures_test.go
+++ b/reducer/figures_test.go
@@ -36,6 +36,8 @@
 	served   bool         // before its deadline
 	failure  string       // last failure
 	shed     serviceTenth // where and when its last attempt was shed, zero if it was not
+	centre   int          // data centre of the entry node of its last attempt
+	notRun   bool         // its last attempt was refused as not run
 }
 
 // simulation runs one case under one policy.
@@ -187,6 +189,7 @@
 			}
 			s.nextCall++
 			id := s.nextCall
+			req.centre = (start + i) % len(s.nodeNames) % s.topology.dcs
 			name := jackdawbridge.RequestID(fmt.Sprint(id))
 			request := jackdawbridge.NewRequest(name, k.hops[0].service, "POST", "/"+k.name, budget).
 				WithKey(keyHash(string(s.topology.accounts[req.account].name))).WithBodyDigest(uint64(id))
@@ -212,6 +215,7 @@
 		req.served = s.now+s.topology.clientDelay <= harnessOrigin+req.at+s.topology.deadline
 		return
 	}
+	req.notRun = !end.served && end.refusal.Outcome() == jackdawbridge.NotRun
 	req.shed = serviceTenth{}
 	if end.refusal.Reason() == jackdawbridge.Overloaded {
 		req.shed = serviceTenth{s.topology.kinds[req.kind].hops[0].service, (s.now - harnessOrigin) / 100}
@@ -257,6 +261,8 @@
 		s.store.setDown(true)
 	case "restart":
 		s.restartAll()
+	case "reject":
+		s.setRejects(s.trigger.rejects)
 	}
 }
 
@@ -269,6 +275,8 @@
 		s.isolate(false)
 	case "platform":
 		s.store.setDown(false)
+	case "reject":
+		s.setRejects(0)
 	}
 }
 
@@ -280,6 +288,18 @@
 	}
 }
 
+// setRejects sets the part of the runs that the backend servers of the trigger's service
+// reject, or that the first of them do.
+func (s *simulation) setRejects(part float64) {
+	for i, hit := 0, 0; i < len(s.nodeNames); i++ {
+		n := s.nodes[s.nodeNames[i]]
+		if n.reducer.self.Service() == s.trigger.service && (s.trigger.hit == 0 || hit < s.trigger.hit) {
+			n.backend.rejects = part
+			hit++
+		}
+	}
+}
+
 func (s *simulation) isolate(on bool) {
 	for i := 1; i < s.topology.dcs; i++ {
 		s.cutAll("dc0", fmt.Sprintf("dc%d", i), on, true)
--- a/reducer/policy_test.go
+++ b/reducer/policy_test.go
@@ -110,6 +110,7 @@
 		if i < len(k.hops)-1 {
 			below += 2 * float64(linkDelay)
 		}
+		below *= float64(k.hops[i].times)
 		if k.hops[i].service == service {
 			total += below
 		}
@@ -152,7 +153,7 @@
 //
 //	service NAME UPSTREAMS SLOTS CONNECTIONS
 //	account NAME PERCENT [paid]
-//	kind NAME CRITICALITY PERCENT idempotent|once SERVICE:MS>SERVICE:MS...
+//	kind NAME CRITICALITY PERCENT idempotent|once SERVICE:MS>SERVICE:MSxTIMES...
 func readTopology(t *testing.T, d *datadriven.TestData) *topology {
 	top := &topology{
 		dcs: intArg(d, "dcs", 1), clientDelay: jackdawbridge.Millis(intArg(d, "client", 1)),
@@ -180,7 +181,11 @@
 			k := &requestKind{name: f[1], criticality: c, fraction: float64(integer(f[3])) / 100, idempotent: f[4] == "idempotent"}
 			for _, part := range strings.Split(f[5], ">") {
 				service, ms, _ := strings.Cut(part, ":")
-				k.hops = append(k.hops, hop{jackdawbridge.ServiceName(service), jackdawbridge.Millis(integer(ms))})
+				ms, times, repeated := strings.Cut(ms, "x")
+				if !repeated {
+					times = "1"
+				}
+				k.hops = append(k.hops, hop{jackdawbridge.ServiceName(service), jackdawbridge.Millis(integer(ms)), integer(times)})
 			}
 			top.kinds = append(top.kinds, k)
 		}
@@ -207,6 +212,9 @@
 	factor  float64 // by which the service becomes slower or the account's demand rises
 	account jackdawbridge.AccountName
 	retries int     // of clients, during the trigger
+	kind    string  // that surges, all if empty
+	rejects float64 // part of the calls that backend servers of the service reject, during the trigger
+	hit     int     // backend servers of the service that reject, all if 0
 	slots   float64 // real slots of the service as a fraction of those announced
 }
 
@@ -222,6 +230,7 @@
 		name: arg(d, "trigger", ""), load: decimal("load", 0.7), factor: decimal("factor", 1),
 		service: jackdawbridge.ServiceName(arg(d, "service", "")), account: jackdawbridge.AccountName(arg(d, "account", "")),
 		retries: intArg(d, "retries", 0), slots: decimal("slots", 1),
+		kind: arg(d, "kind", ""), rejects: decimal("rejects", 0), hit: intArg(d, "hit", 0),
 	}
 	g.surge = decimal("surge", g.load)
 	return g
@@ -232,7 +241,7 @@
 func (g trigger) demand(top *topology, a accountSize, k *requestKind, at jackdawbridge.Millis) float64 {
 	load := g.load
 	during := at >= triggerStart && at < triggerEnd
-	if during {
+	if during && (g.kind == "" || g.kind == k.name) {
 		load = g.surge
 	}
 	rate := top.capacity * load * a.share * k.fraction
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -20,9 +20,12 @@
 
 // mayRetry reports whether a call may be sent again after an attempt that failed.
 func (p *calls) mayRetry(c *call, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason, feedback *jackdawbridge.Feedback) bool {
-	if c.allowance < 1 || c.deadline <= p.r.now || p.r.drain.withdrawn {
+	if c.deadline <= p.r.now || p.r.drain.withdrawn {
 		return false
 	}
+	if c.allowance < 1 {
+		return p.mayRepeat(c, reason, feedback)
+	}
 	if outcome != jackdawbridge.NotRun && !c.envelope.Idempotent() {
 		return false
 	}
@@ -48,13 +51,17 @@
 
 // retry sends a call again, after a backoff if the upstream was overloaded.
 func (p *calls) retry(c *call, outcome jackdawbridge.Outcome, reason jackdawbridge.Reason, feedback *jackdawbridge.Feedback) {
-	c.allowance--
 	if reachedBackend(outcome, reason) {
 		c.envelope = c.envelope.WithRepeated(true)
 		if !decidesRetries(reason, feedback) {
 			p.retryBudgets.spend(c.envelope.Service())
 		}
 	}
+	if c.allowance < 1 {
+		p.repeat(c)
+		return
+	}
+	c.allowance--
 	p.r.fx.Log(jackdawbridge.PartRetry, "request sent again after a failed attempt").About(c.request.ID(), c.target).Str("reason", reason.String()).Str("outcome", outcome.String()).
 		Int("attempt", int64(c.attempt)).Int("left", int64(c.allowance))
 	if reason != jackdawbridge.Overloaded {
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -38,6 +38,7 @@
 	childrenSince jackdawbridge.Millis // when children last rose above 0
 	childTime     jackdawbridge.Millis // total time with calls in progress before childrenSince
 	usage         jackdawbridge.Usage  // of those calls, from their answers
+	served        int                  // those calls that were served
 }
 
 // runs is the part that admits forwarded requests to the local backend server. A run
@@ -59,6 +60,7 @@
 	exclusive     *run                                // exclusive request that is running
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
 	tries         *admission.Tries
+	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -213,6 +215,7 @@
 	}
 	switch e.Outcome() {
 	case jackdawbridge.Served:
+		p.countCalls(u)
 		p.r.quarantine.runServed(u.envelope.Fingerprint())
 	case jackdawbridge.Unknown:
 		p.r.quarantine.runInterrupted(u.envelope.Fingerprint(), u.began)
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -1,15 +1,88 @@
 package reducer
 
 import (
+	"net/http"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 )
 
 // precedence returns the order of a caller's request among those that reach the same
-// services. Within a rank it is a hash of the request, so that the same trees go first
-// at each of their calls.
+// services. Within a rank the requests that make the fewest calls go first, and then a
+// hash decides, so that the same trees go first at each of their calls.
 func (p *calls) precedence(c *call) jackdawbridge.Precedence {
-	return jackdawbridge.NewPrecedence(c.rank(), uint8(xxhash.Sum64String(string(c.request.ID()))))
+	return admission.NewPrecedence(c.rank(), 0, uint8(xxhash.Sum64String(string(c.request.ID()))))
+}
+
+// childPrecedence returns the precedence of the next call of a run. It rises with each call
+// that the run has behind it: a second try of the last one gains a whole request, and one
+// of the first gains only the chance to need more.
+func (p *runs) childPrecedence(u *run) jackdawbridge.Precedence {
+	left := max(p.callCounts[u.class()].Round()-u.served-1, 0)
+	own := u.envelope.Precedence()
+	return admission.NewPrecedence(own.Rank(), left, own.Order())
+}
+
+// countCalls adds the calls of a run that was served to the average of its class. A run
+// with an error answer may have ended before its last call.
+func (p *runs) countCalls(u *run) {
+	if u.status < http.StatusInternalServerError {
+		p.callCounts[u.class()].Add(u.served)
+	}
+}
+
+const (
+	// A call is sent to the same upstream once more after repeatDelayMin and up to
+	// repeatDelayJitter milliseconds more, in which slots of its backend server become free.
+	repeatDelayMin    = 2 * jackdawbridge.Millis(1)
+	repeatDelayJitter = 10 // ms
+)
+
+// maxRepeats is the number of times that a call is sent once more to an upstream whose
+// backend server has rejected it, after its retry allowance is used up. Four of them
+// carry nine in ten calls through a service that rejects half of what arrives.
+const maxRepeats = 4
+
+// mayRepeat reports whether a call without a retry allowance may be sent once more to the
+// upstream that has rejected it. The allowance bounds the upstreams that a request reaches;
+// a send to the same one needs only the grant of the service.
+func (p *calls) mayRepeat(c *call, reason jackdawbridge.Reason, feedback *jackdawbridge.Feedback) bool {
+	return decidesRetries(reason, feedback) && feedback.RetryGranted() && c.repeats < maxRepeats &&
+		c.deadline > p.r.now+repeatDelayMin+repeatDelayJitter
+}
+
+// repeat sends a call to the same upstream once more after a short delay.
+func (p *calls) repeat(c *call) {
+	c.repeats++
+	c.repeating = true
+	c.stage = stageBackoff
+	p.backoffs.Set(c.id, p.r.now+repeatDelayMin+jackdawbridge.Millis(p.r.routes.random.Uint64()%repeatDelayJitter))
+	p.r.fx.Log(jackdawbridge.PartRetry, "request sent to the same upstream again after its backend server rejected it").About(c.request.ID(), c.target).
+		Int("attempt", int64(c.attempt)).Int("repeats", int64(c.repeats))
+}
+
+// pick selects the upstream of the next attempt.
+func (p *calls) pick(c *call) (jackdawbridge.Peer, bool) {
+	if c.repeating {
+		c.repeating = false
+		return p.r.routes.find(c.envelope.Service(), c.target)
+	}
+	return p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
+}
+
+// find returns an upstream of a service that accepts requests.
+func (p *routes) find(service jackdawbridge.ServiceName, node jackdawbridge.Node) (jackdawbridge.Peer, bool) {
+	s := p.subset(service)
+	for _, list := range [2][]upstream{s.local, s.remote} {
+		for i := range list {
+			o := list[i].observation
+			if list[i].peer.Node() == node {
+				return list[i].peer, o.inFlight < maxInFlight && !o.reachability.unreachable && !o.ejected(p.r.now)
+			}
+		}
+	}
+	return jackdawbridge.Peer{}, false
 }
 
 // decidesRetries reports whether the node of the service has decided about a second try
@@ -31,13 +104,16 @@
 
 // learnUsage adds what an attempt used to that of the run for which the backend server
 // made the call.
-func (p *calls) learnUsage(c *call, feedback *jackdawbridge.Feedback) {
+func (p *calls) learnUsage(c *call, feedback *jackdawbridge.Feedback, served bool) {
 	if !c.child {
 		return
 	}
 	if u, ok := p.r.runs.active[c.parent]; ok {
 		usage := feedback.Usage()
 		u.usage.Merge(&usage)
+		if served {
+			u.served++
+		}
 	}
 }
 
