admission, queue, reducer: trees are refused at the front or near their start

Under a burst of bookings, 51% of them failed after their parents and up to seven calls had run: the queue of the leaf refuses the call that has waited longest, whichever tree it belongs to, and entry nodes learn only a whole rank.

A call now waits longer in a standing queue the fewer calls its tree has left, so that the refused trees are those that have cost least. The leaf's nodes compute a threshold in fractions of a rank from the work that arrives and their slots; it returns with each answer, and entry nodes refuse trees below it if their route reaches the service.

--- a/admission/histogram.go
+++ b/admission/histogram.go
@@ -38,3 +38,32 @@
 	}
 	return 0
 }
+
+// above returns the precedence up to which there is the given count above a threshold, at
+// most MaxPrecedence.
+func (h *histogram) above(threshold, count int) int {
+	for i := threshold >> bucketShift; i < buckets; i++ {
+		low := max(threshold, i<<bucketShift)
+		left := (i+1)<<bucketShift - low
+		part := h[i] * left >> bucketShift
+		if part >= count {
+			return low + left*count/max(part, 1)
+		}
+		count -= part
+	}
+	return int(jackdawbridge.MaxPrecedence)
+}
+
+// width returns the range of precedence that would hold the given count at the density of
+// the rank above a threshold, and a whole rank if that has none.
+func (h *histogram) width(threshold, count int) int {
+	const rankWidth = 1 << 8
+	density, i := 0, threshold>>bucketShift
+	for n := 0; n < rankWidth>>bucketShift && i+n < buckets; n++ {
+		density += h[i+n]
+	}
+	if density == 0 {
+		return rankWidth
+	}
+	return count * rankWidth / density
+}
--- a/admission/precedence.go
+++ b/admission/precedence.go
@@ -6,18 +6,23 @@
 	// The higher bits of an order count the calls that a tree has left, the lower
 	// leftShift bits are a hash of the request.
 	leftShift = bucketShift
-	// maxLeft is the highest number of calls left that is told from more.
-	maxLeft = 7
 	// averageUnit is the value of 1 in an Average.
 	averageUnit = 256
 	// averageDivisor gives a sample a weight of 1/16 in an Average.
 	averageDivisor = 16
 )
 
+// MaxLeft is the highest number of calls left that is told from more.
+const MaxLeft = 1<<(8-leftShift) - 1
+
+// Left returns the number of calls that a tree has left after the call of a precedence, at
+// most MaxLeft.
+func Left(p jackdawbridge.Precedence) int { return MaxLeft - int(p.Order()>>leftShift) }
+
 // NewPrecedence returns the precedence of a call of the given rank in a tree that has left
 // more calls to make after it. The lower bits of hash decide among equals.
 func NewPrecedence(rank jackdawbridge.Level, left int, hash uint8) jackdawbridge.Precedence {
-	order := uint8(maxLeft-min(max(left, 0), maxLeft))<<leftShift | hash&(1<<leftShift-1)
+	order := uint8(MaxLeft-min(max(left, 0), MaxLeft))<<leftShift | hash&(1<<leftShift-1)
 	return jackdawbridge.NewPrecedence(rank, order)
 }
 
--- a/behaviour.go
+++ b/behaviour.go
@@ -159,7 +159,8 @@
 	account      AccountName
 	rank         Level
 	paidPriority bool
-	depth        int    // below the caller's request
+	depth        int // below the caller's request
+	precedence   Precedence
 	arrived      Millis // when the call was added to the queue
 	deadline     Millis // when the call must be answered
 }
@@ -169,7 +170,8 @@
 func NewQueuedCall(call CallID, envelope Envelope, arrived, deadline Millis) QueuedCall {
 	return QueuedCall{
 		call: call, account: envelope.account, rank: Rank(envelope.criticality, envelope.paidPriority),
-		paidPriority: envelope.paidPriority, depth: envelope.depth, arrived: arrived, deadline: deadline,
+		paidPriority: envelope.paidPriority, depth: envelope.depth, precedence: envelope.precedence,
+		arrived: arrived, deadline: deadline,
 	}
 }
 
@@ -188,6 +190,10 @@
 // Depth returns the depth of the call below the caller's request.
 func (c QueuedCall) Depth() int { return c.depth }
 
+// Precedence returns the order of the call's request among those that compete for the same
+// service.
+func (c QueuedCall) Precedence() Precedence { return c.precedence }
+
 // Arrived returns when the call was added to the queue.
 func (c QueuedCall) Arrived() Millis { return c.arrived }
 
--- a/queue/priority.go
+++ b/queue/priority.go
@@ -4,6 +4,7 @@
 	"math/bits"
 
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 )
 
@@ -16,6 +17,10 @@
 	// need. Critical calls wait until their deadline: with a limit of 600 to 1000 ms,
 	// one node shed them while another admitted calls of lower rank.
 	waitPerRank = 100 * jackdawbridge.Millis(1)
+	// stagesPerLimit is the number of stages that add the wait of stage 0 once more;
+	// beyond maxPatientStage none is added.
+	stagesPerLimit  = 4
+	maxPatientStage = 8
 	// minCriticalRank is the lowest rank of critical calls.
 	minCriticalRank = int(jackdawbridge.CriticalRank)
 )
@@ -23,6 +28,8 @@
 const (
 	ranks  = int(jackdawbridge.MaxRank) + 1
 	depths = jackdawbridge.MaxDepth + 1
+	// stages is the number of steps of progress of a tree that are told apart.
+	stages = jackdawbridge.MaxDepth + 1 + admission.MaxLeft
 	none   = int32(-1)
 )
 
@@ -31,7 +38,7 @@
 	call       jackdawbridge.QueuedCall
 	flow       int32 // index in flows
 	prev, next int32 // among the calls of the same flow and depth
-	older      int32 // among the calls of the same rank, by arrival
+	older      int32 // among the calls of the same rank and stage, by arrival
 	newer      int32
 }
 
@@ -54,12 +61,12 @@
 	shared      bool   // used by all accounts of the rank that have no flow of their own
 }
 
-// rankState holds the active flows of a rank, and its calls by arrival.
+// rankState holds the active flows of a rank, and its calls by stage and arrival.
 type rankState struct {
-	active      []int32 // flows with calls
-	virtualTime int64   // virtual time of the flow that was served last
-	oldest      int32   // entry
-	newest      int32
+	active      []int32      // flows with calls
+	virtualTime int64        // virtual time of the flow that was served last
+	ages        [stages]list // heads are the oldest calls
+	mask        uint32       // bit set of the stages that have calls
 }
 
 // Priority orders calls by rank, then by fair queueing between their accounts, then by
@@ -92,7 +99,9 @@
 		q.free = append(q.free, int32(size-1-i))
 	}
 	for rank := range ranks {
-		q.ranks[rank].oldest, q.ranks[rank].newest = none, none
+		for i := range q.ranks[rank].ages {
+			q.ranks[rank].ages[i] = list{none, none}
+		}
 		q.flows = append(q.flows, newFlow(flowKey{rank: jackdawbridge.Level(rank)}, true))
 	}
 	return q
@@ -202,8 +211,8 @@
 		q.mask |= 1 << c.Rank()
 	}
 	f.length++
-	d := &f.depths[c.Depth()]
-	q.entries[i] = entry{call: c, flow: n, prev: d.tail, next: none, older: rank.newest, newer: none}
+	d, ages := &f.depths[c.Depth()], &rank.ages[stage(c)]
+	q.entries[i] = entry{call: c, flow: n, prev: d.tail, next: none, older: ages.tail, newer: none}
 	if d.tail == none {
 		d.head = i
 		f.mask |= 1 << c.Depth()
@@ -211,12 +220,13 @@
 		q.entries[d.tail].next = i
 	}
 	d.tail = i
-	if rank.newest == none {
-		rank.oldest = i
+	if ages.tail == none {
+		ages.head = i
+		rank.mask |= 1 << stage(c)
 	} else {
-		q.entries[rank.newest].newer = i
+		q.entries[ages.tail].newer = i
 	}
-	rank.newest = i
+	ages.tail = i
 	q.index[c.Call()] = i
 	q.deadlines.Set(c.Call(), c.Deadline())
 	q.length++
@@ -250,6 +260,7 @@
 func (q *Priority) unlink(i int32, d *list) {
 	e := &q.entries[i]
 	rank := &q.ranks[e.call.Rank()]
+	ages := &rank.ages[stage(e.call)]
 	if e.prev == none {
 		d.head = e.next
 	} else {
@@ -261,15 +272,18 @@
 		q.entries[e.next].prev = e.prev
 	}
 	if e.older == none {
-		rank.oldest = e.newer
+		ages.head = e.newer
 	} else {
 		q.entries[e.older].newer = e.newer
 	}
 	if e.newer == none {
-		rank.newest = e.older
+		ages.tail = e.older
 	} else {
 		q.entries[e.newer].older = e.older
 	}
+	if ages.head == none {
+		rank.mask &^= 1 << stage(e.call)
+	}
 }
 
 // deactivate removes a flow without calls from the active flows of its rank.
@@ -333,18 +347,40 @@
 		if rank >= minCriticalRank {
 			break
 		}
-		oldest := q.ranks[rank].oldest
-		if at-q.entries[oldest].call.Arrived() > standingWaitLimit(rank) {
-			return q.take(oldest), true
+		if i := q.overdue(at, rank); i != none {
+			return q.take(i), true
 		}
 	}
 	return jackdawbridge.QueuedCall{}, false
 }
 
+// overdue returns a call of a rank that has waited too long, of the least progress, or none.
+func (q *Priority) overdue(at jackdawbridge.Millis, rank int) int32 {
+	r := &q.ranks[rank]
+	for mask := r.mask; mask != 0; mask &= mask - 1 {
+		stage := bits.TrailingZeros32(mask)
+		if i := r.ages[stage].head; at-q.entries[i].call.Arrived() > standingWaitLimit(rank, stage) {
+			return i
+		}
+	}
+	return none
+}
+
+// stage returns how far the tree of a call has come: 0 for a caller's request, and more for
+// deeper calls and for those that have fewer calls after them.
+func stage(c jackdawbridge.QueuedCall) int {
+	if c.Depth() == 0 {
+		return 0
+	}
+	return c.Depth() + admission.MaxLeft - admission.Left(c.Precedence())
+}
+
 // standingWaitLimit returns how long a call of a rank below critical may wait in a
-// standing queue.
-func standingWaitLimit(rank int) jackdawbridge.Millis {
-	return waitPerRank * jackdawbridge.Millis(rank)
+// standing queue. Calls of trees near their end wait longer, up to a bound, so that the
+// trees that are refused are those that have cost the least.
+func standingWaitLimit(rank, stage int) jackdawbridge.Millis {
+	limit := waitPerRank * jackdawbridge.Millis(rank)
+	return limit + limit*jackdawbridge.Millis(min(stage, maxPatientStage))/stagesPerLimit
 }
 
 // take removes an entry and returns its call.
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -185,6 +185,9 @@
 	elapsed := p.r.now - u.began
 	p.limiter.Observe(p.r.now, jackdawbridge.NewSample(max(elapsed-u.childTime, 0), u.inFlight, dropped).WithClass(u.envelope.Criticality(), u.envelope.Depth()))
 	p.runTime(u).update(p.r.now, elapsed, dropped)
+	if !dropped {
+		p.gate.Done(elapsed - u.childTime)
+	}
 }
 
 // level returns the admission level to report with the answer to a request: the
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
 )
@@ -58,13 +59,14 @@
 	active           map[jackdawbridge.CallID]*call // at most maxCalls
 	defaultAllowance int                            // retry allowance of a caller's request whose route sets none
 	retryBudgets     retryBudgets
+	forecast         *admission.Forecast
 	deadlines        heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	backoffs         heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free             *pool.Pool[call]
 }
 
 func newCalls(r *Reducer) calls {
-	return calls{r: r, defaultAllowance: defaultRetryAllowance, retryBudgets: newRetryBudgets(), active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
+	return calls{r: r, defaultAllowance: defaultRetryAllowance, retryBudgets: newRetryBudgets(), forecast: admission.NewForecast(), active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
 }
 
 // arrive validates a new request and begins to process it.
@@ -190,7 +192,7 @@
 		p.start(c)
 		return
 	}
-	if !c.internal() && p.sheds(c) {
+	if !c.internal() && (p.sheds(c) || p.refusesTree(c)) {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -60,6 +60,7 @@
 	exclusive     *run                                // exclusive request that is running
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
 	tries         *admission.Tries
+	gate          admission.Gate
 	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
 }
 
@@ -140,6 +141,7 @@
 		return
 	}
 	p.deadlines.Set(u.id, u.deadline)
+	p.gate.Arrive(envelope.Precedence())
 	if p.canStartNow(u) {
 		p.launch(u)
 		return
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -102,14 +102,35 @@
 	return p.retryBudgets.allows(c.envelope.Service())
 }
 
+// routeKey returns the key of the route of a call.
+func (c *call) routeKey() admission.RouteKey {
+	return admission.NewRouteKey(c.envelope.Service(), c.route.Prefix())
+}
+
+// refusesTree reports whether a service that the calls of a request reach has no room for
+// it, and logs which.
+func (p *calls) refusesTree(c *call) bool {
+	threshold, service := p.forecast.Threshold(p.r.now, c.routeKey())
+	if admission.EntryPrecedence(c.envelope.Precedence()) >= threshold {
+		return false
+	}
+	p.r.fx.Log(jackdawbridge.PartCall, "request refused before any work: a service that it reaches has no room").About(c.request.ID(), c.target).
+		Str("binding", string(service)).Int("precedence", int64(admission.EntryPrecedence(c.envelope.Precedence()))).Int("threshold", int64(threshold))
+	return true
+}
+
 // learnUsage adds what an attempt used to that of the run for which the backend server
 // made the call.
 func (p *calls) learnUsage(c *call, feedback *jackdawbridge.Feedback, served bool) {
+	usage := feedback.Usage()
+	p.forecast.Hear(p.r.now, &usage)
+	if served && c.route != nil && c.envelope.Depth() == 0 {
+		p.forecast.Learn(c.routeKey(), &usage)
+	}
 	if !c.child {
 		return
 	}
 	if u, ok := p.r.runs.active[c.parent]; ok {
-		usage := feedback.Usage()
 		u.usage.Merge(&usage)
 		if served {
 			u.served++
@@ -132,7 +153,7 @@
 		calls, work = 1, max(p.r.now-u.began-u.childTime, 0)
 	}
 	usage.Add(jackdawbridge.NewServiceUsage(u.envelope.Service(), calls, work).
-		WithThresholds(0, p.tries.Threshold(p.r.now)).
+		WithThresholds(p.gate.Threshold(p.r.now, p.limiter.Limit(), p.queue.Level(p.r.now) > 0), p.tries.Threshold(p.r.now)).
 		WithRejected(p.tries.Rejected(p.r.now)))
 	return usage
 }
