--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -15,8 +15,9 @@
 	silence  = 200 * jackdawbridge.Millis(1)
 	fallTime = 250 * jackdawbridge.Millis(1)
 	// minCalls is the average number of calls of a route at a service, in 1/averageUnit,
-	// below which the route does not depend on it.
-	minCalls = averageUnit / 8
+	// from which its requests are refused at the entry node. The queue decides as well
+	// about a request that makes a single call there, and later.
+	minCalls = averageUnit * 3 / 2
 	// rankUnit is the value of a rank in a precedence.
 	rankUnit = 1 << 8
 )
