admission: the arrivals of the last seconds earn second tries

When a leaf begins to reject, its trees die early and make no further calls: first arrivals fell to a third just when tries were needed.

--- a/admission/tries.go
+++ b/admission/tries.go
@@ -19,6 +19,8 @@
 	// criticalReserve is the divisor of the burst that gives the part of it that only
 	// critical calls use.
 	criticalReserve = 4
+	// slackWindows is the number of windows whose grants bound that slack beyond minSlack.
+	slackWindows = 2
 	// minSlack is the number of repeats that are not charged at a node that grants none.
 	minSlack = 2
 	// maxOutstanding bounds the granted tries that are taken to be on their way.
@@ -29,13 +31,17 @@
 )
 
 // Tries grants second tries of calls that the backend server beside the node has
-// rejected. First arrivals earn them, so that the repeats that reach the service, summed
-// over its nodes, stay a part of the requests for it, whoever sends them. When more calls
+// rejected. The first arrivals of the last seconds earn them, so that the repeats that reach
+// the service, summed over its nodes, stay a part of the requests for it, whoever sends
+// them. Arrivals earn for several seconds, because trees that are rejected make no further
+// calls: a service that begins to reject gets fewer first arrivals just then. When more calls
 // are rejected than tries are earned, a threshold gives the trees above it as many tries
 // as they need and those below it none: a tree of eight calls that may repeat only some of
 // them fails like one that may repeat none.
 type Tries struct {
-	permille    int                  // thousandths of a try that a first arrival earns, at least 0
+	permille    int // thousandths of a try that a first arrival earns, at least 0
+	firsts      earnings
+	earned      int                  // in a window, in thousandths of a try
 	burst       int                  // tries that may accumulate without recent arrivals, at least 0
 	capacity    int                  // tries that may accumulate, in thousandths: the burst and recent earnings
 	balance     int                  // in thousandths of a try, -capacity to capacity
@@ -56,7 +62,7 @@
 	grants     int
 }
 
-// NewTries returns a Tries in which each first arrival earns permille thousandths of a try,
+// NewTries returns a Tries in which a first arrival earns permille thousandths of a try,
 // and burst tries accumulate beyond those of the last windows.
 func NewTries(permille, burst int) *Tries {
 	t := &Tries{permille: max(permille, 0), burst: max(burst, 0)}
@@ -71,7 +77,6 @@
 	t.advance(at)
 	if !repeated {
 		t.current.firsts++
-		t.balance = min(t.balance+t.permille, t.capacity)
 		return
 	}
 	t.current.repeats++
@@ -102,7 +107,7 @@
 
 // slack returns how many repeats may arrive beyond the tries granted here before they are
 // charged. Tries that one node of a service grants arrive at the others.
-func (t *Tries) slack() int { return minSlack + t.average.grants/one }
+func (t *Tries) slack() int { return minSlack + slackWindows*t.average.grants/one }
 
 // allows reports whether a call gets a second try. Critical calls may use a reserve, and
 // the threshold, which follows averages, binds them only once they do.
@@ -143,6 +148,7 @@
 	for n := 0; at-t.began >= window; n++ {
 		if n == maxWindows {
 			t.began = at
+			t.firsts = earnings{}
 			return
 		}
 		t.began += window
@@ -157,12 +163,14 @@
 	fade(&t.average.repeats, t.current.repeats)
 	fade(&t.average.rejections, t.current.rejections)
 	fade(&t.average.grants, t.current.grants)
+	t.firsts.add(t.current.firsts)
 	t.current = tally{}
 	t.demand.fade(&t.rejected)
-	t.capacity = t.burst*1000 + t.average.firsts*t.permille*burstWindows/one
-	t.balance = min(t.balance, t.capacity)
+	t.earned = t.firsts.perWindow(t.permille)
+	t.capacity = t.burst*1000 + t.earned*burstWindows
+	t.balance = min(t.balance+t.earned, t.capacity)
 	// The room is what a window earns, corrected so that the balance tends to a half of the
 	// capacity: an empty one denies calls above the threshold.
-	room := t.average.firsts*t.permille/1000 + (t.balance-t.capacity/2)*one/1000/correctionDivisor
+	room := (t.earned + (t.balance-t.capacity/2)/correctionDivisor) * one / 1000
 	t.threshold = t.demand.threshold(max(room, 0))
 }
