--- a/admission/tries.go
+++ b/admission/tries.go
@@ -60,6 +60,7 @@
 	repeats    int
 	rejections int
 	grants     int
+	unasked    int // repeats that were charged though no try was granted for them
 }
 
 // NewTries returns a Tries in which a first arrival earns permille thousandths of a try,
@@ -84,6 +85,7 @@
 		t.outstanding--
 		return
 	}
+	t.current.unasked++
 	t.charge()
 }
 
@@ -163,14 +165,15 @@
 	fade(&t.average.repeats, t.current.repeats)
 	fade(&t.average.rejections, t.current.rejections)
 	fade(&t.average.grants, t.current.grants)
+	fade(&t.average.unasked, t.current.unasked)
 	t.firsts.add(t.current.firsts)
 	t.current = tally{}
 	t.demand.fade(&t.rejected)
 	t.earned = t.firsts.perWindow(t.permille)
 	t.capacity = t.burst*1000 + t.earned*burstWindows
 	t.balance = min(t.balance+t.earned, t.capacity)
-	// The room is what a window earns, corrected so that the balance tends to a half of the
+	// The room is what a window earns and others do not spend, corrected so that the balance tends to a half of the
 	// capacity: an empty one denies calls above the threshold.
-	room := (t.earned + (t.balance-t.capacity/2)/correctionDivisor) * one / 1000
+	room := (t.earned+(t.balance-t.capacity/2)/correctionDivisor)*one/1000 - t.average.unasked
 	t.threshold = t.demand.threshold(max(room, 0))
 }
