--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -50,10 +50,15 @@
 	p.at = now
 }
 
-// runTime returns the typical run time of the class of a request: the requests of
-// the same criticality and call depth.
+// class returns the index of the class of a request: the requests of the same
+// criticality and call depth.
+func (u *run) class() int {
+	return int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1) + u.envelope.Depth()
+}
+
+// runTime returns the typical run time of the class of a request.
 func (p *runs) runTime(u *run) *runTime {
-	return &p.runTimes[int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1)+u.envelope.Depth()]
+	return &p.runTimes[u.class()]
 }
 
 // canStartNow reports whether a new request may run without waiting in the queue.
@@ -132,6 +137,7 @@
 	u.state = runRunning
 	u.began = p.r.now
 	u.inFlight = p.running
+	p.tries.Arrive(p.r.now, u.envelope.Repeated())
 	binary.LittleEndian.PutUint64(u.token[:8], p.r.random.Uint64())
 	binary.LittleEndian.PutUint64(u.token[8:], p.r.random.Uint64())
 	p.tokens[u.token] = u
@@ -184,6 +190,9 @@
 	elapsed := p.r.now - u.began
 	p.limiter.Observe(p.r.now, jackdawbridge.NewSample(max(elapsed-u.childTime, 0), u.inFlight, dropped).WithClass(u.envelope.Criticality(), u.envelope.Depth()))
 	p.runTime(u).update(p.r.now, elapsed, dropped)
+	if !dropped {
+		p.gate.Done(elapsed - u.childTime)
+	}
 }
 
 // level returns the admission level to report with the answer to a request: the
@@ -204,7 +213,7 @@
 		until = u.began
 		busy-- // the request itself
 	}
-	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(p.r.warmup.occupancy(busy, p.limiter.Limit()), until-u.arrived)
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(p.r.warmup.occupancy(busy, p.limiter.Limit()), until-u.arrived).WithUsage(p.usage(u))
 }
 
 // byToken returns the run that a call of the backend server belongs to.
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/admission"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
 )
@@ -47,6 +48,8 @@
 	config, keys     uint64               // revisions of the tables by which the request was decided
 	startRecorded    bool                 // the start is recorded under the idempotency key
 	maybeRan         bool                 // an attempt may have run
+	repeats          int                  // sends to the same upstream after it rejected the call, at most maxRepeats
+	repeating        bool                 // the next send goes to the same upstream
 	status           int                  // status of the answer that is passed on
 }
 
@@ -56,13 +59,14 @@
 	active           map[jackdawbridge.CallID]*call // at most maxCalls
 	defaultAllowance int                            // retry allowance of a caller's request whose route sets none
 	retryBudgets     retryBudgets
+	forecast         *admission.Forecast
 	deadlines        heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	backoffs         heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free             *pool.Pool[call]
 }
 
 func newCalls(r *Reducer) calls {
-	return calls{r: r, defaultAllowance: defaultRetryAllowance, retryBudgets: newRetryBudgets(), active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
+	return calls{r: r, defaultAllowance: defaultRetryAllowance, retryBudgets: newRetryBudgets(), forecast: admission.NewForecast(), active: make(map[jackdawbridge.CallID]*call), free: pool.New[call](64)}
 }
 
 // arrive validates a new request and begins to process it.
@@ -124,6 +128,7 @@
 	c.envelope = jackdawbridge.NewEnvelope(c.request.ID(), account, p.r.routes.destination(c.request.Service(), route), route.Criticality(), c.request.Budget()).
 		WithPaidPriority(paid).
 		WithIdempotent(route.Idempotent())
+	c.envelope = c.envelope.WithPrecedence(p.precedence(c))
 	if parent, ok := p.r.runs.requests[c.request.Parent()]; ok && account == "" {
 		p.linkToRun(c, parent)
 	}
@@ -144,6 +149,8 @@
 	c.envelope = c.envelope.
 		WithCriticality(parent.envelope.Criticality()).
 		WithPaidPriority(parent.envelope.PaidPriority()).
+		WithPrecedence(p.r.runs.childPrecedence(parent)).
+		WithRepeated(parent.envelope.Repeated()).
 		WithDepth(min(parent.envelope.Depth()+1, jackdawbridge.MaxDepth))
 }
 
@@ -167,6 +174,7 @@
 	c.envelope = parent.envelope.
 		WithService(p.r.routes.destination(c.request.Service(), route)).
 		WithDepth(parent.envelope.Depth() + 1).
+		WithPrecedence(p.r.runs.childPrecedence(parent)).
 		WithIdempotent(route.Idempotent())
 	return jackdawbridge.NoReason
 }
@@ -184,7 +192,7 @@
 		p.start(c)
 		return
 	}
-	if !c.internal() && p.sheds(c) {
+	if !c.internal() && (p.sheds(c) || p.refusesTree(c)) {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
@@ -247,7 +255,7 @@
 
 // forward sends the next attempt to an upstream, or refuses the call if there is none.
 func (p *calls) forward(c *call) {
-	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
+	target, ok := p.pick(c)
 	if !ok {
 		p.refuse(c, p.failure(c, p.r.routes.unavailable(c.envelope.Service())))
 		return
@@ -285,6 +293,7 @@
 		p.r.routes.upstreamSeen(c.target)
 	}
 	p.learn(c, feedback.Level())
+	p.learnUsage(c, &feedback, e.Outcome() == jackdawbridge.Served)
 	if e.ConnectionRefused() {
 		p.r.members.connectionRefused(c.target)
 	}
@@ -298,8 +307,8 @@
 		return
 	}
 	c.maybeRan = c.maybeRan || e.Outcome() == jackdawbridge.Unknown
-	if p.mayRetry(c, e.Outcome(), e.Reason()) {
-		p.retry(c, e.Outcome(), e.Reason())
+	if p.mayRetry(c, e.Outcome(), e.Reason(), &feedback) {
+		p.retry(c, e.Outcome(), e.Reason(), &feedback)
 		return
 	}
 	p.refuse(c, p.failure(c, e.Reason()))
