picker, estimate, reducer: placement by expected completion

Cause: a choice by mean latency compares four upstreams of a service at a time, and mean latency mixes the speed of an upstream with child calls and with the length of the requests that went there.

Change: the node beside a backend server averages the own time of runs for each class, at the pace that the server reports, and sends the work that is left with its answers. An entry node takes the time of a class at an upstream as a product of the class and of the upstream, ages the reported work towards the mean of the service, and draws among all candidates by expected completion. Nothing changes for services that report no load.

--- a/behaviour.go
+++ b/behaviour.go
@@ -55,11 +55,13 @@
 
 // Candidate describes an upstream to a Picker.
 type Candidate struct {
-	busy                int    // last known count of running and waiting requests
-	latency             Millis // smoothed latency of this node's calls without queueing, at least 1
-	consecutiveFailures int    // consecutive failures of this node's calls
-	slots               int    // concurrent requests that the upstream accepts, at least 1
-	remote              bool   // in another data centre
+	busy                int     // last known count of running and waiting requests
+	latency             Millis  // smoothed latency of this node's calls without queueing, at least 1
+	consecutiveFailures int     // consecutive failures of this node's calls
+	slots               int     // concurrent requests that the upstream accepts, at least 1
+	remote              bool    // in another data centre
+	own                 float64 // expected time of the request there in ms, 0 if unknown
+	work                float64 // expected time in ms of the requests that run and wait there; the slots share it
 }
 
 // NewCandidate returns a candidate in the local data centre.
@@ -79,6 +81,19 @@
 	return c
 }
 
+// WithEstimate returns c with the expected time in ms of the request at the upstream and of
+// the work that the upstream still has to do, both at its present pace.
+func (c Candidate) WithEstimate(own, work float64) Candidate {
+	c.own, c.work = max(own, 0), max(work, 0)
+	return c
+}
+
+// Own returns the expected time of the request at the upstream in ms, 0 if unknown.
+func (c Candidate) Own() float64 { return c.own }
+
+// Work returns the expected time in ms of the requests that run and wait at the upstream.
+func (c Candidate) Work() float64 { return c.work }
+
 // Busy returns the last known count of requests that run or wait at the upstream.
 func (c Candidate) Busy() int { return c.busy }
 
--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -140,7 +140,7 @@
 	self = jackdawbridge.NewPeer(jackdawbridge.NewNode(self.Node().Instance(), uint64(parts.clock.Now())), self.DataCentre(), self.Addresses())
 	var seed [32]byte
 	_, _ = rand.Read(seed[:]) // never fails, see crypto/rand
-	options := reducer.NewOptions(self, seed, picker.NewObserved(), c.newLimiter(), queue.NewPriority(queueSize)).
+	options := reducer.NewOptions(self, seed, picker.NewCompletion(), c.newLimiter(), queue.NewPriority(queueSize)).
 		WithDrainPeriod(jackdawbridge.Millis((c.DrainPeriod * drainPercent / 100).Milliseconds())).
 		WithApplyLimit(jackdawbridge.Millis(c.ApplyLimit.Milliseconds())).
 		WithConfirmInterval(jackdawbridge.Millis(c.Confirm.Milliseconds())).
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -16,7 +16,7 @@
 // centre. With more runs than true slots, a run takes longer in proportion. The output is
 // the share of the calls that each upstream receives, and its calls in flight at the end.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/share", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var p jackdawbridge.Picker = NewObserved()
 			if d.Cmd == "two-choices" {
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -53,7 +53,7 @@
 // runTime returns the typical run time of the class of a request: the requests of
 // the same criticality and call depth.
 func (p *runs) runTime(u *run) *runTime {
-	return &p.runTimes[int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1)+u.envelope.Depth()]
+	return &p.runTimes[classOf(u.envelope)]
 }
 
 // canStartNow reports whether a new request may run without waiting in the queue.
@@ -179,6 +179,9 @@
 	elapsed := p.r.now - u.began
 	p.limiter.Observe(p.r.now, jackdawbridge.NewSample(max(elapsed-u.childTime, 0), u.inFlight, dropped).WithClass(u.envelope.Criticality(), u.envelope.Depth()))
 	p.runTime(u).update(p.r.now, elapsed, dropped)
+	if !dropped {
+		p.work.ended(p.r.now, u)
+	}
 }
 
 // level returns the admission level to report with the answer to a request: the
@@ -200,7 +203,8 @@
 		busy-- // the request itself
 	}
 	occupancy := jackdawbridge.NewOccupancy(busy, p.limiter.Limit())
-	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived)
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(occupancy, until-u.arrived).
+		WithBacklog(p.work.estimate.Backlog(p.r.now, classOf(u.envelope), u.expected))
 }
 
 // byToken returns the run that a call of the backend server belongs to.
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -247,7 +247,7 @@
 
 // forward sends the next attempt to an upstream, or refuses the call if there is none.
 func (p *calls) forward(c *call) {
-	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
+	target, ok := p.r.routes.pick(c.envelope.Service(), c.rank(), c.target, classOf(c.envelope))
 	if !ok {
 		p.refuse(c, p.failure(c, p.r.routes.unavailable(c.envelope.Service())))
 		return
@@ -269,7 +269,8 @@
 	p.r.routes.attemptStarted(c.target)
 	p.r.fx.Forward(c.id, c.attempt, target, envelope)
 	p.r.fx.Log(jackdawbridge.PartRoute, "request forwarded").About(c.request.ID(), c.target).Str("service", string(c.envelope.Service())).
-		Int("attempt", int64(c.attempt)).Int("config", int64(c.config)).Duration("left_ms", c.deadline-p.r.now)
+		Int("attempt", int64(c.attempt)).Int("config", int64(c.config)).Duration("left_ms", c.deadline-p.r.now).
+		Duration("expected_ms", p.r.routes.expected)
 }
 
 // answered processes the answer to an attempt, or its failure: it passes the answer
@@ -281,6 +282,7 @@
 	}
 	feedback := e.Feedback()
 	p.r.routes.attemptEnded(c.target, p.r.now-c.sent, e.Outcome(), e.Reason(), feedback)
+	p.r.routes.workReported(c, feedback.Backlog())
 	if e.Outcome() == jackdawbridge.Served {
 		p.r.routes.upstreamSeen(c.target)
 	}
--- a/reducer/cost_test.go
+++ b/reducer/cost_test.go
@@ -33,7 +33,7 @@
 	start := func(name string) *Reducer {
 		address := netip.MustParseAddrPort("127.0.0.1:7000")
 		peer := jackdawbridge.NewPeer(jackdawbridge.NewNode(jackdawbridge.Instance(name), 1), "one", jackdawbridge.NewAddresses(address, address, address))
-		r, err := New(harnessOrigin, NewOptions(peer, sha256.Sum256([]byte(name)), picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(256)).WithFirstStart())
+		r, err := New(harnessOrigin, NewOptions(peer, sha256.Sum256([]byte(name)), picker.NewCompletion(), limiter.NewAdaptive(1), queue.NewPriority(256)).WithFirstStart())
 		if err != nil {
 			tb.Fatal(err)
 		}
@@ -69,10 +69,11 @@
 	p.request = jackdawbridge.NewRequest("r", "s", "GET", "/x", 1000).WithKey(keyHash("k"))
 	envelope := jackdawbridge.NewEnvelope("r", "a", "s", jackdawbridge.High, 1000).WithIdempotent(true)
 	p.arrived = jackdawbridge.NewCallArrived(p.at, 1, p.request)
-	p.answered = jackdawbridge.NewAttemptAnswered(p.at, 1, 1, 200, jackdawbridge.NewFeedback(0, 1))
+	p.answered = jackdawbridge.NewAttemptAnswered(p.at, 1, 1, 200, jackdawbridge.NewFeedback(0, 1).WithBacklog(jackdawbridge.NewBacklog(100, 20, jackdawbridge.UsualPace)))
 	p.ended = jackdawbridge.NewCallFinished(p.at, 1, true)
 	p.runArrived = jackdawbridge.NewForwardArrived(p.at, 1, envelope)
-	p.runAnswered = jackdawbridge.NewRunAnswered(p.at, 1, 200)
+	load, _ := jackdawbridge.NewBackendLoad(1, 0, 64, 2*jackdawbridge.UsualPace)
+	p.runAnswered = jackdawbridge.NewRunAnswered(p.at, 1, 200).WithLoad(load)
 	p.runEnded = jackdawbridge.NewRunFinished(p.at, 1, jackdawbridge.Served, 200)
 	return p
 }
--- a/reducer/observation.go
+++ b/reducer/observation.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "github.com/jackdawbridge/jackdawbridge"
+import (
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/estimate"
+)
 
 const (
 	// latencyHalfLife is the time in which the latency of an upstream without new
@@ -47,6 +50,7 @@
 	occupancy        jackdawbridge.Occupancy // last reported occupancy
 	occupancyAt      jackdawbridge.Millis    // when occupancy was reported
 	inFlightAtReport int                     // calls of this node in progress when occupancy was reported
+	work             estimate.Upstream       // work and speed as last reported
 	reachability     reachability
 }
 
--- a/reducer/route.go
+++ b/reducer/route.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/estimate"
 )
 
 const (
@@ -45,6 +46,7 @@
 // subset holds the upstreams of a service that this node sends to.
 type subset struct {
 	due    jackdawbridge.Millis // when the subset is selected again
+	mean   estimate.Service     // expected time of requests
 	local  []upstream           // in the local data centre, by descending score, at most maxCandidates
 	remote []upstream           // in other data centres, by descending score, at most maxCandidates
 }
@@ -64,6 +66,8 @@
 	candidates     []jackdawbridge.Candidate                         // reused by each pick
 	chosen         []*upstream                                       // reused by each pick, one for each candidate
 	peers          []jackdawbridge.Peer                              // reused by each selection of a subset
+	expected       jackdawbridge.Millis                              // expected time of the last picked request at its upstream, 0 if unknown
+	estimated      int64                                             // picks by expected completion
 }
 
 func newRoutes(r *Reducer, picker jackdawbridge.Picker) routes {
@@ -79,7 +83,7 @@
 
 // pick selects an upstream of a service for a request of the given rank. It
 // returns last, the upstream of the previous attempt, only if there is no other.
-func (p *routes) pick(service jackdawbridge.ServiceName, rank jackdawbridge.Level, last jackdawbridge.Node) (jackdawbridge.Peer, bool) {
+func (p *routes) pick(service jackdawbridge.ServiceName, rank jackdawbridge.Level, last jackdawbridge.Node, class int) (jackdawbridge.Peer, bool) {
 	s := p.subset(service)
 	p.candidates, p.chosen = p.candidates[:0], p.chosen[:0]
 	panicMode := p.inPanic(s)
@@ -99,7 +103,10 @@
 		return jackdawbridge.Peer{}, false
 	}
 	p.fillLatencies()
-	u := p.chosen[p.picker.Pick(p.candidates, p.random.Uint64())]
+	p.fillEstimates(&s.mean, class)
+	i := p.picker.Pick(p.candidates, p.random.Uint64())
+	p.picked(p.candidates[i])
+	u := p.chosen[i]
 	u.observation.picked(p.r.now)
 	return u.peer, true
 }
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -35,6 +35,7 @@
 	children      int                  // number of those calls in progress
 	childrenSince jackdawbridge.Millis // when children last rose above 0
 	childTime     jackdawbridge.Millis // total time with calls in progress before childrenSince
+	expected      jackdawbridge.Millis // expected own time, as counted in the work of the backend server
 }
 
 // runs is the part that admits forwarded requests to the local backend server. A run
@@ -55,6 +56,7 @@
 	nextExclusive *run                                // exclusive request that waits until nothing else runs
 	exclusive     *run                                // exclusive request that is running
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
+	work          backendWork
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -128,6 +130,7 @@
 	u.deadline = p.r.now + envelope.Budget()
 	u.allowance = envelope.RetryAllowance()
 	p.active[u.id] = u
+	u.expected = p.work.estimate.Add(classOf(envelope))
 	if reason := p.check(envelope); reason != jackdawbridge.NoReason {
 		p.refuse(u, jackdawbridge.NotRunRefusal(reason))
 		return
@@ -174,6 +177,7 @@
 	}
 	u.state = runAnswered
 	u.status = e.Status()
+	p.reported(e.Load())
 	p.r.fx.Deliver(u.id, 0, p.feedback(u, p.level(u), u.allowance))
 	u.allowance = 0
 }
@@ -186,6 +190,7 @@
 	if !ok || u.state != runRunning {
 		return
 	}
+	p.reported(e.Load())
 	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused a request").About(u.envelope.ID(), p.r.self.Node()).
 		Str("reason", e.Reason().String()).Int("running", int64(p.running)).Int("limit", int64(p.limiter.Limit()))
@@ -309,6 +314,7 @@
 
 func (p *runs) forget(u *run) {
 	delete(p.active, u.id)
+	p.work.estimate.Remove(u.expected)
 	p.deadlines.Remove(u.id)
 	p.free.Put(u)
 }
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -10,5 +10,6 @@
 	ready := r.settings.ready() && !r.drain.stopping
 	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
 		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
-		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit())
+		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
+		WithPlacing(jackdawbridge.NewPlacing(r.routes.estimated, r.runs.work.estimate.Clamped(), r.runs.work.expected, r.runs.work.actual))
 }
--- a/status.go
+++ b/status.go
@@ -11,6 +11,7 @@
 	waiting  int // how many of the runs wait
 	limit    int // concurrent runs that are allowed
 	members  int // other nodes in the member list
+	placing  Placing
 }
 
 // NewStatus returns the status of a node.
@@ -34,6 +35,15 @@
 	return s
 }
 
+// WithPlacing returns s with the counts of the placement of requests.
+func (s Status) WithPlacing(placing Placing) Status {
+	s.placing = placing
+	return s
+}
+
+// Placing returns the counts of the placement of requests.
+func (s Status) Placing() Placing { return s.placing }
+
 // Self returns the node as it announces itself.
 func (s Status) Self() Peer { return s.self }
 
@@ -61,6 +71,33 @@
 // Members returns the number of other nodes in the member list.
 func (s Status) Members() int { return s.members }
 
+// Placing counts how requests were placed by their expected completion. The counts only
+// rise.
+type Placing struct {
+	picks    int64  // requests that this node placed by their expected completion
+	clamped  int64  // loads reported by the local backend server that were out of range
+	expected Millis // sum of the expected own times of the runs served by the local backend server
+	actual   Millis // sum of the own times of these runs
+}
+
+// NewPlacing returns counts of requests placed and of reported loads that were clamped,
+// and the sums of the expected and the actual own times of the runs that were served.
+func NewPlacing(picks, clamped int64, expected, actual Millis) Placing {
+	return Placing{picks: picks, clamped: clamped, expected: expected, actual: actual}
+}
+
+// Picks returns the number of requests that were placed by their expected completion.
+func (p Placing) Picks() int64 { return p.picks }
+
+// Clamped returns the number of reported loads that were out of range.
+func (p Placing) Clamped() int64 { return p.clamped }
+
+// Expected returns the sum of the expected own times of the runs that were served.
+func (p Placing) Expected() Millis { return p.expected }
+
+// Actual returns the sum of the own times of the runs that were served.
+func (p Placing) Actual() Millis { return p.actual }
+
 // Inspector is a Reducer that reports its state.
 type Inspector interface {
 	Reducer
