--- a/estimate/backend.go
+++ b/estimate/backend.go
@@ -11,6 +11,9 @@
 const (
 	// fullWeightRuns is the number of runs over which the time of a class is averaged.
 	fullWeightRuns = 64
+	// runsHalfLife is the time without runs in which the weight of an average halves, so
+	// that a backend server that gets few requests is seen to have become faster or slower.
+	runsHalfLife = float64(4 * jackdawbridge.Second)
 	// maxDeviation bounds a run time, as a multiple of the average of its class. One long
 	// run among many short ones says nothing about the speed of the backend server.
 	maxDeviation = 3
@@ -31,8 +34,9 @@
 
 // classTime is the average time of the runs of a class.
 type classTime struct {
-	ms   float64 // own time at the usual pace, without the time of child calls; 0 if unknown
-	runs int     // runs in the average, at most fullWeightRuns
+	ms   float64              // own time at the usual pace, without the time of child calls; 0 if unknown
+	runs float64              // weight of the runs in the average, at most fullWeightRuns, 0 if there are none
+	at   jackdawbridge.Millis // time of the last run
 }
 
 // Backend estimates the work of one backend server. Its zero value knows nothing.
@@ -95,16 +99,19 @@
 // Observe adds a run that was served, with the time that it took without its child calls.
 func (b *Backend) Observe(now jackdawbridge.Millis, class int, own jackdawbridge.Millis) {
 	ms := float64(max(own, 1)) * jackdawbridge.UsualPace / float64(b.paceAt(now))
-	b.classes[class].add(ms)
-	b.overall.add(ms)
+	b.classes[class].add(now, ms)
+	b.overall.add(now, ms)
 }
 
-func (t *classTime) add(ms float64) {
+// add adds a run to the average.
+func (t *classTime) add(now jackdawbridge.Millis, ms float64) {
 	if t.runs > 0 {
 		ms = min(ms, float64(maxDeviation*t.ms))
+		t.runs = float64(t.runs*runsHalfLife) / (runsHalfLife + float64(max(now-t.at, 0)))
 	}
 	t.runs = min(t.runs+1, fullWeightRuns)
-	t.ms += (ms - t.ms) / float64(t.runs)
+	t.at = now
+	t.ms += (ms - t.ms) / t.runs
 }
 
 // paceAt returns the pace as it is expected now.
--- a/estimate/upstream.go
+++ b/estimate/upstream.go
@@ -7,6 +7,9 @@
 	// the service halves. What was there has then been done in part, and other entry nodes
 	// have sent more.
 	workHalfLife = jackdawbridge.Second
+	// slownessHalfLife is the time in which the distance of an upstream's slowness from the
+	// mean of the service halves, so that an upstream that was slow is tried again.
+	slownessHalfLife = 15 * jackdawbridge.Second
 	// slownessWeight and meanWeight are the divisors of the exponential averages of an
 	// upstream's slowness and of the mean time of a class. A report is an average of many
 	// runs itself.
@@ -58,13 +61,12 @@
 // Known reports whether the upstream has reported its work.
 func (u *Upstream) Known() bool { return u.slowness > 0 }
 
-// Slowness returns the time of a request at the upstream relative to the mean of the
-// service, 1 if it is unknown.
-func (u *Upstream) Slowness() float64 {
+// slownessAt returns the slowness as it is expected now, 1 if it is unknown.
+func (u *Upstream) slownessAt(now jackdawbridge.Millis) float64 {
 	if u.slowness == 0 {
 		return 1
 	}
-	return u.slowness
+	return 1 + (u.slowness-1)/float64(int(1)<<min(max(now-u.at, 0)/slownessHalfLife, maxHalfLives))
 }
 
 // Expect returns the expected time in ms of a request of a class at the upstream, and of the
@@ -75,7 +77,7 @@
 	if mean == 0 {
 		return 0, 0
 	}
-	usual := float64(mean * u.Slowness())
+	usual := float64(mean * u.slownessAt(now))
 	prior := float64(s.requests * usual)
 	if !u.Known() {
 		return usual, max(prior, float64(float64(inFlight)*usual))
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -148,7 +148,7 @@
 // startNode starts a process of the node.
 func (c *departureTest) startNode(t *rapid.T) {
 	self := jackdawbridge.NewPeer(jackdawbridge.NewNode("a", uint64(c.clock.Now())), "one", jackdawbridge.Addresses{})
-	r, err := reducer.New(c.clock.Now(), reducer.NewOptions(self, [32]byte{}, picker.NewObserved(), limiter.NewStaticPercent(1, 100), queue.NewPriority(8)))
+	r, err := reducer.New(c.clock.Now(), reducer.NewOptions(self, [32]byte{}, picker.NewCompletion(), limiter.NewStaticPercent(1, 100), queue.NewPriority(8)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/picker/placement_test.go
+++ b/picker/placement_test.go
@@ -19,6 +19,7 @@
 // and queues the others.
 type fleet struct {
 	load      int // permille of what the upstreams can do
+	span      jackdawbridge.Millis
 	spell     int // permille of the usual time that a run takes in a slow spell
 	random    *rand.Rand
 	upstreams []*server
@@ -57,8 +58,6 @@
 	at                        jackdawbridge.Millis
 }
 
-const fleetSpan = 8 * jackdawbridge.Second
-
 // TestPlacement runs the commands "place" of testdata/placement. Each line is a kind of
 // upstreams (up: number, slots, slowness, reported lie) or of requests (req: share, mean
 // ms, class, share and factor of the tail). The output compares the pickers.
@@ -84,6 +83,9 @@
 	objective := 0
 	d.ScanArgs(t, "objective", &objective)
 	f.objective = float64(objective)
+	span := 8
+	d.MaybeScanArgs(t, "span", &span)
+	f.span = jackdawbridge.Millis(span) * jackdawbridge.Second
 	d.MaybeScanArgs(t, "load", &f.load)
 	d.MaybeScanArgs(t, "spell", &f.spell)
 	for line := range strings.Lines(d.Input) {
@@ -111,7 +113,7 @@
 	f.events[at] = append(f.events[at], do)
 }
 
-// play sends load (a permille of what the upstreams can do) for fleetSpan. In a slow spell
+// play sends load (a permille of what the upstreams can do) for the span. In a slow spell
 // of 600 ms the runs that begin at an upstream take spell permille of their time; each
 // upstream is in one a seventh of the time.
 func (f *fleet) play(p jackdawbridge.Picker) {
@@ -120,11 +122,11 @@
 		capacity += float64(u.slots) / u.slowness
 	}
 	for _, k := range f.kinds {
-		mean += k.share * k.ms * (1 + k.tailShare*(k.tailFactor-1))
+		mean += float64(k.share * k.ms * (1 + float64(k.tailShare*(k.tailFactor-1))))
 	}
 	perMilli := float64(f.load) / 1000 * capacity / mean
 	due := 0.0
-	for f.now = 1; f.now < fleetSpan; f.now++ {
+	for f.now = 1; f.now < f.span; f.now++ {
 		for _, do := range f.events[f.now] {
 			do()
 		}
@@ -137,7 +139,7 @@
 				}
 			}
 		}
-		for due += f.random.ExpFloat64() * perMilli; due >= 1; due-- {
+		for due += float64(2 * f.random.Float64() * perMilli); due >= 1; due-- {
 			f.send(p)
 		}
 	}
@@ -162,7 +164,7 @@
 	i := p.Pick(candidates, f.random.Uint64())
 	v, u, sent := &e.known[i], f.upstreams[i], f.now
 	v.inFlight++
-	ms := k.ms * math.Exp(0.3*f.random.NormFloat64())
+	ms := k.ms * (0.5 + f.random.Float64())
 	if f.random.Float64() < k.tailShare {
 		ms *= k.tailFactor
 	}
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -61,7 +61,9 @@
 			n.crash()
 			return
 		}
-		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event { return jackdawbridge.NewRunAnswered(at, id, 200) })
+		n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+			return jackdawbridge.NewRunAnswered(at, id, 200).WithLoad(n.load)
+		})
 	})
 }
 
--- a/reducer/call_tree_test.go
+++ b/reducer/call_tree_test.go
@@ -25,7 +25,7 @@
 func newCallTree(t *rapid.T, nodes, slots int) *callTree {
 	h := newHarness()
 	h.strategies = func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
-		return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(64)
+		return picker.NewCompletion(), limiter.NewAdaptive(1), queue.NewPriority(64)
 	}
 	if _, err := h.configure("account a 1000 1000 one:1000\nroute s /idempotent high idempotent\nroute s /once critical\nkey k a"); err != nil {
 		t.Fatal(err)
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -94,6 +94,7 @@
 	frozen        bool
 	pendingEvents []func(at jackdawbridge.Millis) jackdawbridge.Event // arrived while the process was frozen
 	nextTick      jackdawbridge.Millis                                // virtual time of the scheduled tick, 0 if none is
+	load          jackdawbridge.BackendLoad                           // reported by the backend server, zero for none
 	serviceTime   jackdawbridge.Millis                                // how long a run takes
 	requests      map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs          map[jackdawbridge.CallID]*fakeRun
@@ -172,7 +173,7 @@
 		clockSkews:      make(map[string]jackdawbridge.Millis),
 		nodeFaults:      make(map[string]jackdawbridge.Millis),
 		strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
-			return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(64)
+			return picker.NewCompletion(), limiter.NewAdaptive(1), queue.NewPriority(64)
 		},
 	}
 	h.store = &fakeStore{h: h, records: make(map[jackdawbridge.RecordName]jackdawbridge.Record)}
--- a/reducer/matrix_test.go
+++ b/reducer/matrix_test.go
@@ -164,7 +164,7 @@
 func (x *exchange) run(plan []injection, exchangeOnly bool) *matrixRun {
 	m := &matrixRun{exchange: x, h: newHarness(), plan: plan, exchangeOnly: exchangeOnly, stopped: make(map[string]bool)}
 	m.h.strategies = func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
-		return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(matrixQueueLength)
+		return picker.NewCompletion(), limiter.NewAdaptive(1), queue.NewPriority(matrixQueueLength)
 	}
 	m.checks = newMatrixChecks(m.h)
 	m.h.onEvent, m.h.onEffect, m.h.onHop, m.h.onSend = m.event, m.effect, m.hop, m.send
--- a/reducer/policy_test.go
+++ b/reducer/policy_test.go
@@ -51,7 +51,7 @@
 		return picker.NewTwoChoices(), limiter.NewStatic(1), queue.NewFIFO(1 << 20)
 	}},
 	{name: "adaptive", strategies: func() (jackdawbridge.Picker, jackdawbridge.Limiter, jackdawbridge.Queue) {
-		return picker.NewObserved(), limiter.NewAdaptive(1), queue.NewPriority(256)
+		return picker.NewCompletion(), limiter.NewAdaptive(1), queue.NewPriority(256)
 	}},
 }
 
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -156,6 +156,8 @@
 		h.store.failAfter = jackdawbridge.Millis(intArg(d, "hang", 0))
 	case "service-time":
 		h.nodes[arg(d, "node", "")].serviceTime = jackdawbridge.Millis(intArg(d, "ms", 5))
+	case "load":
+		h.nodes[arg(d, "node", "")].load, _ = jackdawbridge.NewBackendLoad(intArg(d, "running", 1), intArg(d, "waiting", 0), intArg(d, "slots", 1), intArg(d, "pace", jackdawbridge.UsualPace))
 	case "call":
 		return h.scheduleCalls(d)
 	case "run":
