estimate: a run time is bounded from below as well

A fifth of the runs of one class there belong to routes that take 1 ms, so the average of that class, and with it the slowness, differed between upstreams by what share of them each had run.

Change: a run counts as at least a third of the average, and a report moves the slowness by a quarter.

--- a/estimate/backend.go
+++ b/estimate/backend.go
@@ -14,8 +14,9 @@
 	// runsHalfLife is the time without runs in which the weight of an average halves, so
 	// that a backend server that gets few requests is seen to have become faster or slower.
 	runsHalfLife = float64(4 * jackdawbridge.Second)
-	// maxDeviation bounds a run time, as a multiple of the average of its class. One long
-	// run among many short ones says nothing about the speed of the backend server.
+	// maxDeviation bounds a run time from above, as a multiple of the average of its class,
+	// and from below. A long run among short ones, or some runs of a route that takes a
+	// hundredth of the time, say nothing about the speed of the backend server.
 	maxDeviation = 3
 	// A pace outside of minPace and maxPace, relative to the usual one of the backend
 	// server, is not believed.
@@ -106,7 +107,7 @@
 // add adds a run to the average.
 func (t *classTime) add(now jackdawbridge.Millis, ms float64) {
 	if t.runs > 0 {
-		ms = min(ms, float64(maxDeviation*t.ms))
+		ms = min(max(ms, t.ms/maxDeviation), float64(maxDeviation*t.ms))
 		t.runs = float64(t.runs*runsHalfLife) / (runsHalfLife + float64(max(now-t.at, 0)))
 	}
 	t.runs = min(t.runs+1, fullWeightRuns)
--- a/estimate/upstream.go
+++ b/estimate/upstream.go
@@ -13,7 +13,7 @@
 	// slownessWeight and meanWeight are the divisors of the exponential averages of an
 	// upstream's slowness and of the mean time of a class. A report is an average of many
 	// runs itself.
-	slownessWeight = 2
+	slownessWeight = 4
 	meanWeight     = 16
 )
 
