reducer, picker: class of a request that is too deep; failures of an upstream

A request is given a class before it is checked, so one from another node with a depth above the maximum ended the process: TestTooDeepHasClass failed with index out of range. Its class is that of the greatest depth.

Each consecutive failure of an upstream adds a quarter to its expected completion. As a number of busy slots, raised to the third power, failures counted for nothing.

--- a/picker/completion.go
+++ b/picker/completion.go
@@ -2,6 +2,9 @@
 
 import "github.com/jackdawbridge/jackdawbridge"
 
+// failurePart is the part of the expected completion that one consecutive failure adds.
+const failurePart = 0.25
+
 // Completion picks the upstream where the request is expected to end first, by its own
 // expected time there and the work that the upstream still has to do. Where no such
 // estimate is known it picks like Observed.
@@ -99,7 +102,6 @@
 // for as much work as the slots do in the time of the request; before that a free slot is
 // likely. The cube leaves room on a fast upstream for what the reports do not show yet.
 func completion(c *jackdawbridge.Candidate, maxSlots int) float64 {
-	requests := c.Work()/c.Own() + float64(1+failureCost*c.ConsecutiveFailures())
-	load := requests / float64(min(c.Slots(), maxSlots))
-	return c.Own() * (1 + float64(float64(load*load)*load))
+	load := (c.Work()/c.Own() + 1) / float64(min(c.Slots(), maxSlots))
+	return c.Own() * (1 + float64(failurePart*float64(c.ConsecutiveFailures())) + float64(float64(load*load)*load))
 }
--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -13,9 +13,11 @@
 	actual   jackdawbridge.Millis // sum of their own times
 }
 
-// classOf returns the class of a request: its criticality and its depth.
+// classOf returns the class of a request: its criticality and its depth. A request that is
+// too deep, which is refused, has a class as well.
 func classOf(envelope jackdawbridge.Envelope) int {
-	return int(envelope.Criticality())*(jackdawbridge.MaxDepth+1) + envelope.Depth()
+	depth := min(max(envelope.Depth(), 0), jackdawbridge.MaxDepth)
+	return int(envelope.Criticality())*(jackdawbridge.MaxDepth+1) + depth
 }
 
 // ended adds a run that was served to its end. The time during which the run waited for
