--- a/picker/placement_test.go
+++ b/picker/placement_test.go
@@ -162,33 +162,48 @@
 		candidates[i] = jackdawbridge.NewCandidate(busy, jackdawbridge.Millis(v.latency), 0, f.upstreams[i].slots).WithEstimate(own, work)
 	}
 	i := p.Pick(candidates, f.random.Uint64())
-	v, u, sent := &e.known[i], f.upstreams[i], f.now
+	v, u, sent, class := &e.known[i], f.upstreams[i], f.now, int(k.class)
 	v.inFlight++
 	ms := k.ms * (0.5 + f.random.Float64())
 	if f.random.Float64() < k.tailShare {
 		ms *= k.tailFactor
 	}
-	f.at(1, func() { f.arrive(u, v, e, int(k.class), ms, sent) })
+	f.at(1, func() {
+		arrived, expected := f.now, u.work.Add(class)
+		u.queue = append(u.queue, func() {
+			took, waited := ms*u.slowness*u.spell, f.now-arrived
+			f.at(took, func() {
+				backlog := f.end(u, class, expected, jackdawbridge.Millis(took))
+				busy := u.running + len(u.queue)
+				f.at(1, func() {
+					v.inFlight--
+					v.busy, v.at, v.inFlight0 = busy, f.now, v.inFlight
+					v.work.Report(f.now, &e.mean, class, v.inFlight, backlog)
+					latency := float64(f.now - sent - waited)
+					if v.latency == 0 {
+						v.latency = latency
+					}
+					v.latency += (latency - v.latency) / 8
+					f.times = append(f.times, float64(f.now-sent))
+				})
+			})
+		})
+		u.start()
+	})
 }
 
-// arrive runs a request at an upstream, or queues it.
-func (f *fleet) arrive(u *server, v *view, e *entry, class int, ms float64, sent jackdawbridge.Millis) {
-	expected := u.work.Add(class)
-	arrived := f.now
-	run := func() {
+// start runs the requests of the queue for which there is a slot.
+func (u *server) start() {
+	for len(u.queue) > 0 && u.running < u.slots {
 		u.running++
-		took := ms * u.slowness * u.spell
-		waited := f.now - arrived
-		f.at(took, func() { f.end(u, v, e, class, expected, jackdawbridge.Millis(took), waited, sent) })
-	}
-	if u.running < u.slots {
-		run()
-		return
+		next := u.queue[0]
+		u.queue = u.queue[1:]
+		next()
 	}
-	u.queue = append(u.queue, run)
 }
 
-func (f *fleet) end(u *server, v *view, e *entry, class int, expected, took, waited, sent jackdawbridge.Millis) {
+// end ends a run and returns the backlog that its answer carries.
+func (f *fleet) end(u *server, class int, expected, took jackdawbridge.Millis) jackdawbridge.Backlog {
 	running, pace := u.running, int(u.spell*jackdawbridge.UsualPace)
 	if u.lie > 0 {
 		running, pace = u.lie, u.lie
@@ -199,23 +214,8 @@
 	u.work.Observe(f.now, class, took)
 	u.work.Remove(expected)
 	u.running--
-	if len(u.queue) > 0 {
-		next := u.queue[0]
-		u.queue = u.queue[1:]
-		next()
-	}
-	busy := u.running + len(u.queue)
-	f.at(1, func() {
-		v.inFlight--
-		v.busy, v.at, v.inFlight0 = busy, f.now, v.inFlight
-		v.work.Report(f.now, &e.mean, class, v.inFlight, backlog)
-		latency := float64(f.now - sent - waited)
-		if v.latency == 0 {
-			v.latency = latency
-		}
-		v.latency += (latency - v.latency) / 8
-		f.times = append(f.times, float64(f.now-sent))
-	})
+	u.start()
+	return backlog
 }
 
 // report returns the figures of the requests that were answered.
