--- a/node/admin.go
+++ b/node/admin.go
@@ -77,6 +77,10 @@
 		evacuated = 1
 	}
 	n.metrics.set("data_centre_evacuated", evacuated)
+	n.metrics.set("picks_by_completion", s.Placing().Picks())
+	n.metrics.set("loads_clamped", s.Placing().Clamped())
+	n.metrics.set("run_time_expected_milliseconds", int64(s.Placing().Expected()))
+	n.metrics.set("run_time_actual_milliseconds", int64(s.Placing().Actual()))
 	n.metrics.set("members", int64(s.Members()))
 	n.metrics.set("ranges_epoch", int64(s.Digest().RangesProgress()))
 	n.metrics.set("tables_confirmed_age_milliseconds", int64(s.Digest().SinceConfirmed()))
--- a/reducer/admit.go
+++ b/reducer/admit.go
@@ -50,15 +50,9 @@
 	p.at = now
 }
 
-// class returns the index of the class of a request: the requests of the same
-// criticality and call depth.
-func (u *run) class() int {
-	return int(u.envelope.Criticality())*(jackdawbridge.MaxDepth+1) + u.envelope.Depth()
-}
-
 // runTime returns the typical run time of the class of a request.
 func (p *runs) runTime(u *run) *runTime {
-	return &p.runTimes[u.class()]
+	return &p.runTimes[classOf(u.envelope)]
 }
 
 // canStartNow reports whether a new request may run without waiting in the queue.
@@ -192,6 +186,7 @@
 	p.runTime(u).update(p.r.now, elapsed, dropped)
 	if !dropped {
 		p.gate.Done(elapsed - u.childTime)
+		p.work.ended(p.r.now, u)
 	}
 }
 
@@ -213,7 +208,8 @@
 		until = u.began
 		busy-- // the request itself
 	}
-	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(p.r.warmup.occupancy(busy, p.limiter.Limit()), until-u.arrived).WithUsage(p.usage(u))
+	return jackdawbridge.NewFeedback(level, unused).WithOccupancy(p.r.warmup.occupancy(busy, p.limiter.Limit()), until-u.arrived).
+		WithUsage(p.usage(u)).WithBacklog(p.work.estimate.Backlog(p.r.now, classOf(u.envelope), u.expected))
 }
 
 // byToken returns the run that a call of the backend server belongs to.
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -39,6 +39,7 @@
 	childTime     jackdawbridge.Millis // total time with calls in progress before childrenSince
 	usage         jackdawbridge.Usage  // of those calls, from their answers
 	served        int                  // those calls that were served
+	expected      jackdawbridge.Millis // expected own time, as counted in the work of the backend server
 }
 
 // runs is the part that admits forwarded requests to the local backend server. A run
@@ -62,6 +63,7 @@
 	tries         *admission.Tries
 	gate          admission.Gate
 	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
+	work          backendWork
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -137,6 +139,7 @@
 	u.deadline = p.r.now + envelope.Budget()
 	u.allowance = envelope.RetryAllowance()
 	p.active[u.id] = u
+	u.expected = p.work.estimate.Add(classOf(envelope))
 	if reason := p.check(envelope); reason != jackdawbridge.NoReason {
 		p.refuse(u, jackdawbridge.NotRunRefusal(reason))
 		return
@@ -186,6 +189,7 @@
 	}
 	u.state = runAnswered
 	u.status = e.Status()
+	p.reported(e.Load())
 	p.r.fx.Deliver(u.id, 0, p.feedback(u, p.level(u), u.allowance))
 	u.allowance = 0
 }
@@ -198,6 +202,7 @@
 	if !ok || u.state != runRunning {
 		return
 	}
+	p.reported(e.Load())
 	granted := p.grantRetry(u, e.Reason())
 	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance).WithRetryGranted(granted))
 	p.r.fx.Log(jackdawbridge.PartAdmit, "backend server refused a request").About(u.envelope.ID(), p.r.self.Node()).
@@ -329,6 +334,7 @@
 
 func (p *runs) forget(u *run) {
 	delete(p.active, u.id)
+	p.work.estimate.Remove(u.expected)
 	p.deadlines.Remove(u.id)
 	p.free.Put(u)
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -172,6 +172,8 @@
 		return strconv.FormatBool(ok), nil
 	case "service-time":
 		h.nodes[arg(d, "node", "")].serviceTime = jackdawbridge.Millis(intArg(d, "ms", 5))
+	case "load":
+		h.nodes[arg(d, "node", "")].load, _ = jackdawbridge.NewBackendLoad(intArg(d, "running", 1), intArg(d, "waiting", 0), intArg(d, "slots", 1), intArg(d, "pace", jackdawbridge.UsualPace))
 	case "call":
 		return h.scheduleCalls(d)
 	case "run":
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -11,5 +11,6 @@
 	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
 		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
 		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
-		WithSlowStart(r.warmup.left(), r.warmup.refused, r.evacuation.since != 0)
+		WithSlowStart(r.warmup.left(), r.warmup.refused, r.evacuation.since != 0).
+		WithPlacing(jackdawbridge.NewPlacing(r.routes.estimated, r.runs.work.estimate.Clamped(), r.runs.work.expected, r.runs.work.actual))
 }
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -19,7 +19,7 @@
 // that the run has behind it: a second try of the last one gains a whole request, and one
 // of the first gains only the chance to need more.
 func (p *runs) childPrecedence(u *run) jackdawbridge.Precedence {
-	left := max(p.callCounts[u.class()].Round()-u.served-1, 0)
+	left := max(p.callCounts[classOf(u.envelope)].Round()-u.served-1, 0)
 	own := u.envelope.Precedence()
 	return admission.NewPrecedence(own.Rank(), left, own.Order())
 }
@@ -28,7 +28,7 @@
 // with an error answer may have ended before its last call.
 func (p *runs) countCalls(u *run) {
 	if u.status < http.StatusInternalServerError {
-		p.callCounts[u.class()].Add(u.served)
+		p.callCounts[classOf(u.envelope)].Add(u.served)
 	}
 }
 
@@ -68,7 +68,7 @@
 		c.repeating = false
 		return p.r.routes.find(c.envelope.Service(), c.target)
 	}
-	return p.r.routes.pick(c.envelope.Service(), c.rank(), c.target)
+	return p.r.routes.pick(c.envelope.Service(), c.rank(), c.target, classOf(c.envelope))
 }
 
 // find returns an upstream of a service that accepts requests.
--- a/status.go
+++ b/status.go
@@ -15,6 +15,7 @@
 	coldLeft    Millis // how long the local backend server is still cold, 0 if it is not
 	coldRefused int    // requests refused because it was cold
 	evacuated   bool   // the data centre of the node is evacuated
+	placing     Placing
 }
 
 // NewStatus returns the status of a node.
@@ -57,6 +58,15 @@
 // Evacuated reports whether the data centre of the node is evacuated.
 func (s Status) Evacuated() bool { return s.evacuated }
 
+// WithPlacing returns s with the counts of the placement of requests.
+func (s Status) WithPlacing(placing Placing) Status {
+	s.placing = placing
+	return s
+}
+
+// Placing returns the counts of the placement of requests.
+func (s Status) Placing() Placing { return s.placing }
+
 // Self returns the node as it announces itself.
 func (s Status) Self() Peer { return s.self }
 
@@ -84,6 +94,33 @@
 // Members returns the number of other nodes in the member list.
 func (s Status) Members() int { return s.members }
 
+// Placing counts how requests were placed by their expected completion. The counts only
+// rise.
+type Placing struct {
+	picks    int64  // requests that this node placed by their expected completion
+	clamped  int64  // loads reported by the local backend server that were out of range
+	expected Millis // sum of the expected own times of the runs served by the local backend server
+	actual   Millis // sum of the own times of these runs
+}
+
+// NewPlacing returns counts of requests placed and of reported loads that were clamped,
+// and the sums of the expected and the actual own times of the runs that were served.
+func NewPlacing(picks, clamped int64, expected, actual Millis) Placing {
+	return Placing{picks: picks, clamped: clamped, expected: expected, actual: actual}
+}
+
+// Picks returns the number of requests that were placed by their expected completion.
+func (p Placing) Picks() int64 { return p.picks }
+
+// Clamped returns the number of reported loads that were out of range.
+func (p Placing) Clamped() int64 { return p.clamped }
+
+// Expected returns the sum of the expected own times of the runs that were served.
+func (p Placing) Expected() Millis { return p.expected }
+
+// Actual returns the sum of the own times of the runs that were served.
+func (p Placing) Actual() Millis { return p.actual }
+
 // Inspector is a Reducer that reports its state.
 type Inspector interface {
 	Reducer
