cmd: process tests of clients that stay outside the limits

Eight scripts send what a hostile client may send, from a data file that holds the crowd and the bounds, and check that the process lives, that its memory at peak and its descriptors are under a bound, and that an ordinary request is answered. They read VmHWM and the open descriptors of the node from /proc and wait until the node reads no further, so that nothing depends on the machine's speed. JACKDAW_READ_BYTES lowers a limit that the program does not have yet.

--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -119,9 +120,20 @@
 	return fmt.Sprintf("127.%d.%d.%d:7000", 64+pid%128, pid/128%256, usedAddresses)
 }
 
+// environment matches a variable of the environment with its value.
+var environment = regexp.MustCompile(`^[A-Z_]+=`)
+
 // start runs a program in the background under the given name.
 func (f *fleet) start(name, program string, args ...string) error {
-	p := &process{name: name, command: exec.Command(filepath.Join(f.bin, program), args...), ended: make(chan struct{})}
+	return f.startWith(nil, name, program, args...)
+}
+
+// startWith is like start, with further variables in the program's environment. The variable
+// DESCRIPTORS is the maximum number of open descriptors of the process.
+func (f *fleet) startWith(env []string, name, program string, args ...string) error {
+	limited := append([]string{"-c", `[ -z "$DESCRIPTORS" ] || ulimit -n $DESCRIPTORS; exec "$0" "$@"`, filepath.Join(f.bin, program)}, args...)
+	p := &process{name: name, command: exec.Command("sh", limited...), ended: make(chan struct{})}
+	p.command.Env = append(os.Environ(), env...)
 	p.command.Stdout = &p.out
 	p.command.Stderr = &p.out
 	if err := p.command.Start(); err != nil {
@@ -181,7 +193,8 @@
 	}
 }
 
-// startNode starts a node that joins all nodes started before it.
+// startNode starts a node that joins all nodes started before it. A flag of the form
+// NAME=VALUE is a variable of its environment.
 func (f *fleet) startNode(name, dc string, flags ...string) error {
 	m := &nodeAddresses{
 		dc: dc, callers: f.freeAddress(), peers: f.freeAddress(), gossip: f.freeAddress(),
@@ -196,7 +209,15 @@
 		args = append(args, "--join", other.gossip)
 	}
 	f.nodes[name] = m
-	return f.start(name, "jackdawbridge", append(args, flags...)...)
+	var env []string
+	for _, flag := range flags {
+		if environment.MatchString(flag) {
+			env = append(env, flag)
+		} else {
+			args = append(args, flag)
+		}
+	}
+	return f.startWith(env, name, "jackdawbridge", args...)
 }
 
 // answer is the result of a call as its caller receives it.
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -108,6 +108,12 @@
 		close(f.load.stop)
 		f.load.group.Wait()
 		return strings.Join(slices.Sorted(maps.Keys(f.load.results)), "\n"), nil
+	case "crowd":
+		return "", f.crowd(d)
+	case "bounded":
+		megabytes, _ := strconv.Atoi(arg(d, "megabytes"))
+		descriptors, _ := strconv.Atoi(arg(d, "descriptors"))
+		return f.bounded(arg(d, "node"), megabytes, descriptors)
 	case "kill":
 		return f.signal(arg(d, "process"), syscall.SIGKILL)
 	case "hangup":
@@ -255,9 +261,7 @@
 // the status of the answer with the outcome and the reason of a refusal, and whether
 // the node failed to close a connection that it announced to close.
 func (f *fleet) raw(node, listener, input string) (string, error) {
-	m := f.nodes[node]
-	address := map[string]string{"callers": m.callers, "peers": m.peers, "backend": m.backend, "admin": m.admin}[listener]
-	conn, err := net.Dial("tcp", address)
+	conn, err := net.Dial("tcp", f.nodes[node].listener(listener))
 	if err != nil {
 		return "", err
 	}
@@ -266,7 +270,7 @@
 		return "", err
 	}
 	head, content, _ := strings.Cut(input, "\nbody: ")
-	if _, err := io.WriteString(conn, strings.ReplaceAll(head, "\n", "\r\n")+"\r\nHost: x\r\n\r\n"+content); err != nil {
+	if _, err := io.WriteString(conn, expand(head)+"\r\nHost: x\r\n\r\n"+content); err != nil {
 		return "", err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
