node, budget, link: one budget for what is read and not yet passed on

Cause: heads, bodies and connections were bounded each, but not their sum. Of a legal head of short lines each line took some 150 bytes once parsed; a body of 64 KB took three times its size, because bytes.Buffer grew at its end; a refused request whose body stayed open kept its buffers until the deadline. A crowd of silent connections shut out new ones and links: at EMFILE the listener for links stopped for good.

Ruled out: a limit on header fields (refuses single requests inside the operators' limits); refusing the newest (a crowd that stays open shuts out everyone).

Change: package budget, a pure accountant, returns whom to evict: of the requests that wait for their client, the one that was begun first. Each listener closes its longest silent connection above its limit and uses a part of the process's descriptors only. Links count unverified connections apart and retry a failed accept.

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -73,6 +74,7 @@
 	BodyBytes      int64         `default:"268435456" help:"Maximum size of a request body in bytes."`
 	BodyRate       int64         `default:"16384" help:"Minimum rate at which a body must arrive, in bytes per second."`
 	BodyGrace      time.Duration `default:"5s" help:"Time before the minimum rate of a body is enforced."`
+	ReadBytes      int64         `default:"33554432" help:"Maximum memory in bytes for requests that are read and not yet answered. Above it, requests whose clients have stopped sending are refused, the oldest first. One request alone always fits."`
 	MaxConns       int           `default:"4096" help:"Maximum number of connections of each listener."`
 	Idle           time.Duration `default:"2m" help:"Idle timeout of connections to the listeners."`
 	Heartbeat      time.Duration `default:"3s" help:"Time without an announcement after which the backend server is considered lost."`
@@ -289,6 +291,16 @@
 	return joins, nil
 }
 
+// maxDescriptors returns the maximum number of open descriptors of the process, 0 if it is
+// unknown.
+func maxDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // maxDuration is the maximum of every flag that holds a duration.
 const maxDuration = 24 * time.Hour
 
@@ -325,6 +337,7 @@
 		{"header-bytes", int64(c.HeaderBytes), 1 << 10, 1 << 20},
 		{"body-bytes", c.BodyBytes, 0, 1 << 40},
 		{"body-rate", c.BodyRate, 1, 1 << 30},
+		{"read-bytes", c.ReadBytes, 1 << 20, 1 << 40},
 		{"max-conns", int64(c.MaxConns), 1, 1 << 20},
 		{"retry-permille", int64(c.RetryPermille), 0, 1000},
 		{"retry-burst", int64(c.RetryBurst), 0, 1000},
@@ -336,7 +349,9 @@
 	return node.DefaultLimits().
 		WithHeader(c.HeaderBytes, c.HeaderTime).
 		WithBody(c.BodyBytes, c.BodyRate, c.BodyGrace).
+		WithReadBytes(c.ReadBytes).
 		WithConns(c.MaxConns, c.Idle).
+		WithDescriptors(maxDescriptors()).
 		WithBackendIdle(c.BackendIdle).
 		WithHeartbeat(c.Heartbeat).
 		WithGrace(c.GracePeriod * gracePercent / 100).
--- a/link/link.go
+++ b/link/link.go
@@ -55,6 +55,9 @@
 	// maxAccepted bounds the accepted connections. Each of 300 nodes may open
 	// maxConnsPerPeer, and as many again after a network failure.
 	maxAccepted = 4096
+	// maxUnverified bounds the accepted connections that have not completed the handshake.
+	// Above it, the one that was accepted first is closed: a peer needs a round trip.
+	maxUnverified = 256
 
 	// window is the number of bytes of a body that may be sent before the receiver
 	// grants more. A buffered body is at most as large.
@@ -78,6 +81,7 @@
 	errClosed       = errors.New("link: request or connection has ended")
 	errUnresponsive = errors.New("link: peer does not answer pings")
 	errProtocol     = errors.New("link: protocol violation")
+	errTooMany      = errors.New("link: too many connections")
 	errReset        = errors.New("link: request reset by the peer")
 	errWithdrawn    = errors.New("link: node is stopping and sends no more requests")
 )
--- a/link/listener.go
+++ b/link/listener.go
@@ -14,6 +14,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/heap"
 	"github.com/jackdawbridge/jackdawbridge/pool"
 	"github.com/jackdawbridge/jackdawbridge/socket"
 )
@@ -24,15 +25,17 @@
 	codec    jackdawbridge.Codec
 	sealer   Sealer
 	log      *slog.Logger
-	refused  gometrics.Counter            // connections that failed the handshake or exceeded maxAccepted
+	refused  gometrics.Counter            // connections that failed the handshake or exceeded a limit
 	invalid  gometrics.Counter            // connections closed because of an invalid frame
 	handle   jackdawbridge.InboundHandler // set by Serve
 	workers  *pool.Workers
 	ctx      context.Context // cancelled when the listener is closed
 	cancel   context.CancelFunc
 
-	mu    sync.Mutex
-	conns map[*serverConn]struct{} // at most maxAccepted
+	mu         sync.Mutex
+	conns      map[*serverConn]struct{}       // verified and unverified, at most maxAccepted and maxUnverified
+	unverified heap.Heap[*serverConn, uint64] // by the order in which they were accepted, at most maxUnverified
+	accepted   uint64                         // number of connections accepted so far
 }
 
 var _ jackdawbridge.LinkListener = (*Listener)(nil)
@@ -88,34 +91,57 @@
 	return nil
 }
 
+// retryAccept is the pause after a failure to accept a connection, for which the process may
+// lack descriptors.
+const retryAccept = 50 * time.Millisecond
+
 func (l *Listener) accept() {
 	for {
 		conn, err := l.listener.Accept()
 		if err != nil {
-			if l.ctx.Err() == nil {
-				l.log.Error("link: listener stopped: cannot accept connections", "error", err)
+			if l.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			l.log.Error("link: cannot accept connections, trying again", "error", err)
+			select {
+			case <-time.After(retryAccept):
+				continue
+			case <-l.ctx.Done():
+				return
 			}
-			return
 		}
 		s := newServerConn(l, socket.Wrap(conn))
-		if !l.admit(s) {
+		if evicted := l.register(s); evicted != nil {
 			l.refused.Inc(1)
-			_ = conn.Close()
-			continue
+			_ = evicted.conn.Close()
 		}
 		go s.serve()
 	}
 }
 
-// admit registers a connection and reports true, unless maxAccepted are open.
-func (l *Listener) admit(s *serverConn) bool {
+// register adds a connection that is not yet verified. If there are too many of them, it
+// removes the one that was accepted first and returns it.
+func (l *Listener) register(s *serverConn) *serverConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= maxAccepted {
-		return false
-	}
+	l.accepted++
 	l.conns[s] = struct{}{}
-	return true
+	l.unverified.Set(s, l.accepted)
+	if l.unverified.Len() <= maxUnverified {
+		return nil
+	}
+	oldest, _, _ := l.unverified.Min()
+	l.unverified.Remove(oldest)
+	delete(l.conns, oldest)
+	return oldest
+}
+
+// verify marks that a connection has completed the handshake. It reports false if the
+// connection was evicted or if maxAccepted others are verified.
+func (l *Listener) verify(s *serverConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unverified.Remove(s) && len(l.conns)-l.unverified.Len() <= maxAccepted
 }
 
 // removeConn removes a connection that has ended.
@@ -123,6 +149,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, s)
+	l.unverified.Remove(s)
 }
 
 // serverConn is the accepting side of a connection. It receives requests and sends
@@ -158,6 +185,11 @@
 		s.fail(err)
 		return
 	}
+	if !s.listener.verify(s) {
+		s.listener.refused.Inc(1)
+		s.fail(errTooMany)
+		return
+	}
 	_ = s.conn.SetDeadline(time.Time{})
 	go func() { s.fail(s.out.run()) }()
 	err := s.read()
--- a/node/admin.go
+++ b/node/admin.go
@@ -75,6 +75,7 @@
 	n.metrics.set("tables_confirmed_age_milliseconds", int64(s.Digest().SinceConfirmed()))
 	n.metrics.set("revision_config", int64(s.Digest().Config()))
 	n.metrics.set("revision_keys", int64(s.Digest().Keys()))
+	n.metrics.set("read_bytes_held", n.reading.held())
 	n.metrics.set("log_lines_dropped", n.log.dropped.Load())
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 	n.metrics.write(w)
--- a/node/body.go
+++ b/node/body.go
@@ -44,24 +44,56 @@
 	if r.ContentLength > limits.maxBodyBytes {
 		return nil, errBodyTooLarge
 	}
+	conn, _ := r.Context().Value(connKey{}).(*boundedConn)
 	limited := &minRateReader{
-		source: r.Body, control: http.NewResponseController(w),
+		conn: conn, source: r.Body, control: http.NewResponseController(w),
 		rate: limits.minBodyRate, grace: limits.bodyGrace, remaining: limits.maxBodyBytes,
 	}
 	defer context.AfterFunc(stopped, limited.interrupt)()
-	size := int64(MaxBufferedBody)
+	size := int64(unknownBodyBuffer)
 	if r.ContentLength >= 0 {
-		size = min(size, r.ContentLength)
+		size = min(MaxBufferedBody, r.ContentLength) + 1 // one more byte, so that a read reaches the end
 	}
-	prefix := bytes.NewBuffer(make([]byte, 0, size+1))
-	_, err := io.CopyN(prefix, limited, MaxBufferedBody+1)
+	prefix, whole, err := readStart(limited, conn, size)
 	switch {
-	case errors.Is(err, io.EOF):
-		return &body{prefix: prefix.Bytes(), length: int64(prefix.Len())}, nil
 	case err != nil:
 		return nil, errors.Errorf("read request body: %w", err)
+	case whole:
+		return &body{prefix: prefix, length: int64(len(prefix))}, nil
+	}
+	return &body{prefix: prefix, rest: limited, length: r.ContentLength}, nil
+}
+
+// unknownBodyBuffer is the first size of the buffer for a body of unknown length, in bytes.
+const unknownBodyBuffer = 2 << 10
+
+// readStart reads up to MaxBufferedBody+1 bytes into a buffer that has size bytes at first,
+// and charges the buffer to the read budget. It reports whether it has reached the end of
+// the body.
+func readStart(from io.Reader, conn *boundedConn, size int64) (start []byte, whole bool, err error) {
+	if !conn.hold(size) {
+		return nil, false, errOverBudget
+	}
+	buffer := make([]byte, size)
+	for got := 0; ; {
+		n, err := from.Read(buffer[got:])
+		got += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer[:got], true, nil
+		case err != nil:
+			return nil, false, err
+		case got < len(buffer):
+			continue
+		case got > MaxBufferedBody:
+			return buffer, false, nil
+		}
+		larger := min(2*len(buffer), MaxBufferedBody+1)
+		if !conn.hold(int64(larger - len(buffer))) {
+			return nil, false, errOverBudget
+		}
+		buffer = append(make([]byte, 0, larger), buffer...)[:larger]
 	}
-	return &body{prefix: prefix.Bytes(), rest: limited, length: r.ContentLength}, nil
 }
 
 // digest returns a hash of the buffered prefix of the body, 0 if it is empty.
@@ -117,6 +149,7 @@
 // size or arrives below a minimum rate. Only the time spent in reads, that is,
 // waiting for the sender, counts towards the rate.
 type minRateReader struct {
+	conn      *boundedConn // nil if unknown, which holds nothing
 	source    io.Reader
 	control   *http.ResponseController
 	rate      int64         // minimum rate, in bytes per second
@@ -161,17 +194,23 @@
 	if err := r.setDeadline(started.Add(allowed)); err != nil {
 		return 0, errors.Errorf("set read deadline for request body: %w", err)
 	}
+	r.conn.awaitClient(true)
 	n, err := r.source.Read(buffer)
+	r.conn.awaitClient(false)
 	r.waited += time.Since(started)
 	r.total += int64(n)
 	r.remaining -= int64(n)
 	if r.remaining < 0 {
 		return 0, errBodyTooLarge
 	}
+	if err != nil && r.conn.isEvicted() {
+		return 0, errOverBudget
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && r.isInterrupted() {
 		return n, errBodyStopped
 	}
 	if errors.Is(err, io.EOF) {
+		r.conn.setBodyRead()
 		// The server continues to read from the connection to detect that the
 		// client closes it. The deadline must not end that read.
 		if err := r.control.SetReadDeadline(time.Time{}); err != nil {
--- a/node/caller.go
+++ b/node/caller.go
@@ -36,7 +36,10 @@
 	in, err := n.readCall(w, r, child)
 	switch {
 	case errors.Is(err, errBodyStopped):
-		n.refuseUnread(w, r)
+		n.refuseUnread(w, r, jackdawbridge.Draining)
+		return
+	case errors.Is(err, errOverBudget):
+		n.refuseUnread(w, r, jackdawbridge.Overloaded)
 		return
 	case err != nil:
 		n.refuseBadInput(w, r, child, err)
@@ -84,12 +87,13 @@
 	n.writeRefusal(w, jackdawbridge.NotRunRefusal(jackdawbridge.BadInput))
 }
 
-// refuseUnread refuses a request whose body has not arrived in time before the exit of
-// the process.
-func (n *Node) refuseUnread(w http.ResponseWriter, r *http.Request) {
-	refusal := jackdawbridge.NotRunRefusal(jackdawbridge.Draining)
-	n.log.warn("node: request refused: its body has not arrived before the exit", "from", r.RemoteAddr)
+// refuseUnread refuses a request whose body has not been read to its end. The connection is
+// closed after the answer.
+func (n *Node) refuseUnread(w http.ResponseWriter, r *http.Request, reason jackdawbridge.Reason) {
+	refusal := jackdawbridge.NotRunRefusal(reason)
+	n.log.warn("node: request refused: its body was not read to its end", "from", r.RemoteAddr, "reason", reason.String())
 	n.prepareRefusal(w, refusal, nil)
+	w.Header().Set("Connection", "close")
 	n.writeRefusal(w, refusal)
 }
 
--- a/node/left_test.go
+++ b/node/left_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	gometrics "github.com/rcrowley/go-metrics"
 )
 
 // TestCallerLeft runs the script testdata/left. A command sends a request, then further
@@ -17,7 +18,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	bounded := &boundedListener{Listener: listener, limit: 100, onRefused: func() {}}
+	bounded := &boundedListener{Listener: listener, limit: 100, reading: newReadBudget(1<<20, newMetrics(gometrics.NewRegistry())), silent: func() net.Conn { return nil }, onRefused: func() {}}
 	const request = "GET / HTTP/1.1\r\n\r\n"
 	datadriven.RunTest(t, "testdata/left/callers", func(t *testing.T, d *datadriven.TestData) string {
 		caller, err := net.Dial("tcp", listener.Addr().String())
--- a/node/limits.go
+++ b/node/limits.go
@@ -16,7 +16,9 @@
 	minBodyRate        int64         // minimum rate at which a body arrives, in bytes per second
 	bodyGrace          time.Duration // time before minBodyRate applies
 	writeTimeout       time.Duration // maximum time until a caller accepts a part of an answer
+	readBytes          int64         // maximum memory of requests that are read and not yet answered, of all listeners
 	maxConns           int           // maximum number of connections of each listener
+	descriptors        int           // maximum number of open descriptors of the process, 0 if unknown
 	idleTimeout        time.Duration // maximum idle time of a connection to a listener
 	backendIdleTimeout time.Duration // maximum idle time of a connection to the backend server
 	heartbeatTimeout   time.Duration // time without a heartbeat after which the backend server is lost
@@ -29,8 +31,8 @@
 	return Limits{
 		maxHeaderBytes: 32 << 10, headerTimeout: 5 * time.Second,
 		maxBodyBytes: 256 << 20, minBodyRate: 16 << 10, bodyGrace: 5 * time.Second,
-		writeTimeout: 10 * time.Second,
-		maxConns:     4096, idleTimeout: 2 * time.Minute,
+		writeTimeout: 10 * time.Second, readBytes: 32 << 20,
+		maxConns: 4096, idleTimeout: 2 * time.Minute,
 		backendIdleTimeout: 30 * time.Second,
 		heartbeatTimeout:   3 * time.Second, linger: 2 * time.Second, gracePeriod: 30 * time.Second,
 	}
@@ -53,6 +55,13 @@
 	return l
 }
 
+// WithReadBytes returns l with the maximum memory, in bytes, of the requests of all
+// listeners that are read and not yet answered.
+func (l Limits) WithReadBytes(bytes int64) Limits {
+	l.readBytes = bytes
+	return l
+}
+
 // WithConns returns l with the maximum number of connections of each listener
 // and the maximum time that one stays open without a request.
 func (l Limits) WithConns(maxConns int, idleTimeout time.Duration) Limits {
@@ -61,6 +70,22 @@
 	return l
 }
 
+// WithDescriptors returns l with the maximum number of open descriptors of the process. The
+// listeners leave a part of them to links and to connections that the node opens.
+func (l Limits) WithDescriptors(descriptors int) Limits {
+	l.descriptors = descriptors
+	return l
+}
+
+// connsOf returns the maximum number of connections of a listener that may use one in share
+// of the descriptors.
+func (l Limits) connsOf(share int) int {
+	if l.descriptors == 0 {
+		return l.maxConns
+	}
+	return max(1, min(l.maxConns, l.descriptors/share))
+}
+
 // WithBackendIdle returns l with the maximum time that a connection to the
 // backend server stays open without a request. It must be shorter than the idle
 // timeout of the backend server.
--- a/node/listen.go
+++ b/node/listen.go
@@ -7,12 +7,11 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
-	"github.com/jackdawbridge/jackdawbridge/socket"
+	"github.com/jackdawbridge/jackdawbridge/heap"
 )
 
 // Addresses holds the addresses that a Node listens on.
@@ -51,18 +50,19 @@
 func (n *Node) openListeners() error {
 	for _, l := range []struct {
 		name    string
+		share   int // the listener may use one in share of the process's descriptors
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"callers", n.addresses.callers, http.HandlerFunc(n.serveCaller)},
-		{"backend", n.addresses.backend, http.HandlerFunc(n.serveBackend)},
-		{"admin", n.addresses.admin, n.adminHandler()},
-		{"metrics", n.addresses.metrics, n.metricsHandler()},
+		{"callers", 2, n.addresses.callers, http.HandlerFunc(n.serveCaller)},
+		{"backend", 8, n.addresses.backend, http.HandlerFunc(n.serveBackend)},
+		{"admin", 16, n.addresses.admin, n.adminHandler()},
+		{"metrics", 16, n.addresses.metrics, n.metricsHandler()},
 	} {
 		if !l.address.IsValid() {
 			continue
 		}
-		if err := n.startListener(l.name, l.address, l.handler); err != nil {
+		if err := n.startListener(l.name, l.address, l.handler, n.limits.connsOf(l.share)); err != nil {
 			return err
 		}
 	}
@@ -79,7 +79,7 @@
 }
 
 // startListener opens a listener and serves its connections in the background.
-func (n *Node) startListener(name string, address netip.AddrPort, handler http.Handler) error {
+func (n *Node) startListener(name string, address netip.AddrPort, handler http.Handler, maxConns int) error {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false) // stopHandshakes cannot attach its filter to an MPTCP socket
 	config.KeepAlive = -1         // a dead connection is closed by the idle timeout or at the end of its request
@@ -87,12 +87,14 @@
 	if err != nil {
 		return errors.Errorf("listen for %s: %w", name, err)
 	}
-	bounded := &boundedListener{Listener: listener, limit: int64(n.limits.maxConns), onRefused: func() {
-		n.metrics.count("connections_refused_" + name)
-	}}
 	connections := newConnTracker()
+	bounded := &boundedListener{
+		Listener: listener, limit: int64(maxConns), reading: n.reading, silent: connections.longestSilent,
+		onRefused: func() { n.metrics.count("connections_refused_" + name) },
+		onEvicted: func() { n.metrics.count("connections_evicted_" + name) },
+	}
 	server := &http.Server{
-		Handler:   n.limitBodyWait(handler),
+		Handler:   n.limitBodyWait(trackRequest(handler)),
 		ConnState: connections.setState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
@@ -127,8 +129,20 @@
 type connTracker struct {
 	becameIdle chan struct{} // receives a value when a connection is no longer busy
 
-	mu   sync.Mutex
-	busy map[net.Conn]bool
+	mu     sync.Mutex
+	busy   map[net.Conn]bool
+	silent heap.Heap[net.Conn, uint64] // connections without a whole head, by the order in which they became so
+	turn   uint64                      // number of connections that became silent so far
+}
+
+// longestSilent returns the connection that has been longest without the whole head of a
+// request, or nil if all have one.
+func (c *connTracker) longestSilent() net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, _, _ := c.silent.Min()
+	c.silent.Remove(conn)
+	return conn
 }
 
 func newConnTracker() *connTracker {
@@ -138,7 +152,16 @@
 // setState records the new state of a connection. It is the ConnState hook of
 // the server.
 func (c *connTracker) setState(conn net.Conn, state http.ConnState) {
+	if bounded, ok := conn.(*boundedConn); ok && state == http.StateIdle {
+		bounded.beginHead()
+	}
 	c.mu.Lock()
+	if state == http.StateNew || state == http.StateIdle {
+		c.turn++
+		c.silent.Set(conn, c.turn)
+	} else {
+		c.silent.Remove(conn)
+	}
 	if state == http.StateNew || state == http.StateActive {
 		c.busy[conn] = true
 		c.mu.Unlock()
@@ -224,68 +247,3 @@
 		return false
 	}
 }
-
-// boundedListener accepts connections up to a limit. It closes further ones
-// immediately, so that their clients fail without waiting for a timeout.
-type boundedListener struct {
-	net.Listener
-	limit     int64
-	open      atomic.Int64
-	onRefused func() // called for each connection above the limit
-}
-
-// Accept waits for the next connection within the limit and returns it.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open.Add(1) <= l.limit {
-			return &boundedConn{Conn: socket.Wrap(conn), onClose: func() { l.open.Add(-1) }}, nil
-		}
-		l.open.Add(-1)
-		l.onRefused()
-		_ = conn.Close()
-	}
-}
-
-// connKey is the key of a connection in the context of its requests.
-type connKey struct{}
-
-// callerLeft reports whether the caller has closed the connection behind a request. The
-// context of the request does not show that yet if the request lay unread meanwhile.
-func callerLeft(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(*boundedConn)
-	return ok && conn.Ended()
-}
-
-// boundedConn is a connection that counts towards the limit of a boundedListener.
-type boundedConn struct {
-	socket.Conn
-	once    sync.Once
-	onClose func()
-	ahead   atomic.Bool                 // a byte behind the request in progress was read, and nothing reads on
-	onAhead atomic.Pointer[callerWatch] // watch of the request in progress, nil if there is none
-}
-
-// Read reads from the connection. While a request is in progress and its body has been
-// read, the server reads a single byte, to notice the end of the connection. If there is
-// such a byte, it reads no further until the request has ended.
-func (c *boundedConn) Read(p []byte) (int, error) {
-	c.ahead.Store(false)
-	n, err := c.Conn.Read(p)
-	if n == 1 && len(p) == 1 {
-		c.ahead.Store(true)
-		if w := c.onAhead.Load(); w != nil {
-			w.start()
-		}
-	}
-	return n, err
-}
-
-// Close closes the connection and frees its place in the limit.
-func (c *boundedConn) Close() error {
-	c.once.Do(c.onClose)
-	return c.Conn.Close()
-}
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	limits    Limits
 	addresses Addresses
 	metrics   *metrics
+	reading   *readBudget
 	log       *logWriter
 	backend   *backend
 	endpoints []*endpoint
@@ -85,6 +86,7 @@
 	}
 	n.withdrawn, n.withdraw = context.WithCancel(ctx)
 	n.backend = newBackend(n)
+	n.reading = newReadBudget(limits.readBytes, n.metrics)
 	return n, nil
 }
 
