client: a reset during an upload breaks an answer without a length, and a status below 100 is none

Cause: while an upload is still being written, the socket reports a reset once, to whoever asks first. When that was the write, the read of the answer found a plain end, and an answer that ends with its connection looked complete. Any status below 200 counted as an interim answer, so that 000, 099 and +20 kept the request waiting until its deadline; 101 and 600 were returned as answers.

Ruled out: the link between nodes, which marks the last part of an answer.

Change: writes keep their error, and the end of an answer without a length is its end only if no write has failed. A status has to be 200 to 599, or 1xx other than 101 for an interim answer; all others fail the request at once.

--- a/client/answer_body.go
+++ b/client/answer_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,22 +13,31 @@
 	io.ReadCloser
 	x           *exchange
 	closeAfter  bool          // the backend server closes the connection after the answer
+	toEnd       bool          // the answer has no length and ends with its connection
 	idleLimit   time.Duration // idle time that the backend server allows, 0 if unknown
 	released    bool          // the connection was released
+	result      error         // of reads after the release
 	deadlineSet bool          // the connection has a deadline for reads
 }
 
 // Read reads from the answer. The end of the answer releases the connection, and
-// an error closes it.
+// an error closes it. An answer without a length is broken if its connection was reset.
 func (b *answerBody) Read(p []byte) (int, error) {
+	if b.released {
+		return 0, b.result
+	}
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !b.released {
-		b.released = true
-		if errors.Is(err, io.EOF) && b.clearDeadline() {
-			b.x.finish(b.closeAfter, b.idleLimit)
-		} else {
-			b.x.abort()
-		}
+	if err == nil {
+		return n, nil
+	}
+	if b.toEnd && errors.Is(err, io.EOF) && !b.x.conn.sender.endedInOrder() {
+		err = errReset
+	}
+	b.released, b.result = true, err
+	if errors.Is(err, io.EOF) && b.clearDeadline() {
+		b.x.finish(b.closeAfter, b.idleLimit)
+	} else {
+		b.x.abort()
 	}
 	return n, err
 }
@@ -41,7 +51,7 @@
 // Close closes the connection unless the answer was read to its end.
 func (b *answerBody) Close() error {
 	if !b.released {
-		b.released = true
+		b.released, b.result = true, net.ErrClosed
 		b.x.abort()
 	}
 	return nil
--- a/client/client.go
+++ b/client/client.go
@@ -48,6 +48,8 @@
 	// maxInterim is the number of interim answers (status 1xx) after which a request
 	// fails.
 	maxInterim = 8
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// maxHeadBytes limits the head of an answer in bytes. http.ReadResponse has no limit
 	// and needs several times the size of a head that consists of short fields, for as
 	// many answers at once as the backend server has slots.
@@ -154,6 +156,7 @@
 type conn struct {
 	socket.Conn
 	source     *headLimiter // what reader reads from
+	sender     *sender      // what writer writes to
 	reader     *bufio.Reader
 	writer     *bufio.Writer
 	idleSince  time.Time     // when the connection became idle
@@ -308,9 +311,10 @@
 		return nil, errors.Errorf("connect: %w", err)
 	}
 	wrapped := socket.Wrap(dialed)
-	source := &headLimiter{source: wrapped}
+	source, out := &headLimiter{source: wrapped}, &sender{conn: wrapped}
 	return &conn{
-		Conn: wrapped, source: source, reader: bufio.NewReaderSize(source, bufferSize), writer: bufio.NewWriterSize(wrapped, bufferSize),
+		Conn: wrapped, source: source, sender: out,
+		reader: bufio.NewReaderSize(source, bufferSize), writer: bufio.NewWriterSize(out, bufferSize),
 	}, nil
 }
 
@@ -391,7 +395,10 @@
 		}
 		switch match(response) {
 		case Matched:
-			response.Body = &answerBody{ReadCloser: response.Body, x: x, closeAfter: response.Close, idleLimit: keepAliveTime(response.Header)}
+			response.Body = &answerBody{
+				ReadCloser: response.Body, x: x, closeAfter: response.Close, idleLimit: keepAliveTime(response.Header),
+				toEnd: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+			}
 			return response, nil
 		case Unrelated:
 			return nil, errors.New("answer belongs to no request")
@@ -425,8 +432,11 @@
 			return nil, errors.Errorf("read answer: %w", err)
 		}
 		x.answerStarted = true
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status >= http.StatusOK && status <= maxStatus:
 			return response, nil
+		case status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+			return nil, errors.Errorf("read answer: status %q: want 200 to %d, or an interim status", response.Status, maxStatus)
 		}
 	}
 	return nil, errors.Errorf("read answer: got %d interim answers and no final one", maxInterim)
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -136,6 +136,10 @@
 		s.requests.Add(1)
 		id := r.Header.Get("Id")
 		_, _ = io.WriteString(conn, again)
+		if early, ok := strings.CutPrefix(r.URL.Path, "/early-"); ok {
+			s.answerEarly(conn, r, early)
+			return
+		}
 		if r.URL.Path == "/early" {
 			_, _ = io.WriteString(conn, answer(id, "early"))
 			<-s.earlyRead // reads the rest of the request only then, so that the upload is still under way
@@ -149,6 +153,10 @@
 			return
 		}
 		expected := answer(id, fmt.Sprintf("%s %d", id, len(requestBody)))
+		if status, ok := strings.CutPrefix(r.URL.Path, "/status-"); ok {
+			answerStatus(conn, id, status)
+			continue
+		}
 		switch r.URL.Path {
 		case "/refuse-twice":
 			again = strings.Replace(expected, "200 OK", "503 Full", 1)
@@ -198,6 +206,25 @@
 	}
 }
 
+// answerEarly answers an upload without a length after it has read only a part of it, and
+// resets the connection or ends its half of it in order.
+func (s *server) answerEarly(conn *net.TCPConn, r *http.Request, ending string) {
+	_, _ = io.CopyN(io.Discard, r.Body, 70_000)
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\n\r\n"+strings.Repeat("x", 1000))
+	if ending == "reset" {
+		_ = conn.SetLinger(0)
+		return
+	}
+	_ = conn.CloseWrite()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// answerStatus answers with a status of any text, and then with an ordinary answer that a
+// client finds if it takes the first one for an interim one.
+func answerStatus(conn net.Conn, id, status string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" x\r\nId: "+id+"\r\nContent-Length: 0\r\n\r\n"+answer(id, "second"))
+}
+
 func match(id string) func(*http.Response) Match {
 	return func(r *http.Response) Match {
 		switch r.Header.Get("Id") {
@@ -280,6 +307,21 @@
 	return string(body)
 }
 
+// tally sends a request several times and counts the results, those of all broken and
+// failed requests together.
+func tally(t *testing.T, s *server, c *Client, d *datadriven.TestData, number *int) string {
+	times, whole := 0, 0
+	d.ScanArgs(t, "times", &times)
+	for range times {
+		result := sendRequest(t, s, c, d, *number)
+		if !strings.HasPrefix(result, "broken") && !strings.HasPrefix(result, "failed") {
+			whole++
+		}
+		*number++
+	}
+	return fmt.Sprintf("%d of %d whole", whole, times)
+}
+
 // TestScripts runs the scripts in testdata. Their comments say which failures they
 // guard against.
 func TestScripts(t *testing.T) {
@@ -295,6 +337,9 @@
 			switch d.Cmd {
 			case "do":
 				number++
+				if d.HasArg("times") {
+					return tally(t, s, c, d, &number)
+				}
 				result := sendRequest(t, s, c, d, number)
 				if d.HasArg("limit") {
 					s.settle(t)
