reducer: the first announcement of a cold backend server has its reduced slots

Cause: the slow start was looked up by the service that the node had announced before, so the first announcement of a cold backend server named all its slots until the next one, up to a heartbeat later.

Change: warmup keeps the service of the last announcement.

Measured: TestScripts/cold, "slots node=d": 100 before, 3 after, want 3.

--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -59,6 +59,8 @@
 			jackdawbridge.Millis(intArg(d, "cold", 0)))
 	case "evacuate":
 		h.evacuate(jackdawbridge.DataCentre(arg(d, "dc", "")), arg(d, "state", "on") == "on")
+	case "slots":
+		return strconv.Itoa(h.nodes[arg(d, "node", "")].reducer.self.Slots()), nil
 	case "starts":
 		return h.starts(arg(d, "node", ""), jackdawbridge.Millis(intArg(d, "last", 0)))
 	case "depart":
--- a/reducer/warmup.go
+++ b/reducer/warmup.go
@@ -18,18 +18,19 @@
 // cold, until an announcement says otherwise, after its data centre was evacuated.
 type warmup struct {
 	r         *Reducer
-	announces int                  // slots that the backend server announced last
-	until     jackdawbridge.Millis // when the backend server is warm, 0 if it is
-	starts    *window.Bound        // starts of requests; nil until the service of the backend server is known to have a slow start
-	refused   int                  // requests refused since the start of the process
-	before    int                  // refused when the backend server became cold
+	service   jackdawbridge.ServiceName // that the backend server announced last
+	announces int                       // slots that the backend server announced last
+	until     jackdawbridge.Millis      // when the backend server is warm, 0 if it is
+	starts    *window.Bound             // starts of requests; nil until the service of the backend server is known to have a slow start
+	refused   int                       // requests refused since the start of the process
+	before    int                       // refused when the backend server became cold
 }
 
 func newWarmup(r *Reducer) warmup { return warmup{r: r} }
 
 // slowStart returns the slow start of the local backend server's service, nil if it has none.
 func (p *warmup) slowStart() *jackdawbridge.SlowStart {
-	return p.r.settings.index.slowStarts[p.r.self.Service()]
+	return p.r.settings.index.slowStarts[p.service]
 }
 
 // cold reports whether the backend server is cold.
@@ -40,7 +41,7 @@
 
 // announced records how much longer the backend server is cold.
 func (p *warmup) announced(e *jackdawbridge.BackendAnnounced) {
-	p.announces = e.Slots()
+	p.service, p.announces = e.Service(), e.Slots()
 	if e.Left() {
 		return // the announcement does not say how much longer it is cold
 	}
