--- a/reducer/change.go
+++ b/reducer/change.go
@@ -78,6 +78,7 @@
 	}
 	if p.localRanges == nil {
 		due := p.r.started + firstRecordDelay + firstRecordRankStep*jackdawbridge.Millis(p.rank)
+		due = max(due, p.r.eras.absenceProvenAt())
 		if p.absent && p.r.now >= due && !p.releasing {
 			c.write(p, 0, jackdawbridge.NewRanges(1, assignRanges(members), chooseWitnesses(members, nil, p.self())))
 		} else if p.absent {
--- a/reducer/eras.go
+++ b/reducer/eras.go
@@ -95,6 +95,19 @@
 	return p.r.now < p.lostUntil()
 }
 
+// absenceProvenAt returns from when on a record that the store does not have cannot be one
+// that it has lost and that other nodes still act by. A process that no peer informs takes
+// any era but 0 for one that began a moment ago.
+func (p *eras) absenceProvenAt() jackdawbridge.Millis {
+	switch {
+	case p.returned > 0:
+		return p.returned + departureLease
+	case p.current == 0 || p.informed:
+		return 0
+	}
+	return p.r.started + departureLease
+}
+
 // lostUntil returns when lost becomes false at the latest. A process that no peer informs
 // cannot know when the store came back.
 func (p *eras) lostUntil() jackdawbridge.Millis {
