--- a/reducer/departure.go
+++ b/reducer/departure.go
@@ -39,7 +39,8 @@
 //   - A new process of the node believes that a backend server serves once it has read
 //     that record and found no departure of the backend server's process in it. While the
 //     platform does not answer, it believes a second announcement, and corrects that as soon
-//     as the record is read.
+//     as the record is read. The same holds while the store may have lost a part of the record,
+//     because it came back from an older copy.
 //   - Draining may be taken back by a later announcement of the same process. A process that
 //     has left does not serve again, whatever the number of an announcement.
 type departures struct {
