--- a/node/admin.go
+++ b/node/admin.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+
+	"github.com/jackdawbridge/jackdawbridge"
 )
 
 // statusPage is the JSON document that the admin listener serves at /status.
@@ -71,6 +74,7 @@
 	n.metrics.set("runs_waiting", int64(s.Waiting()))
 	n.metrics.set("runs_limit", int64(s.Limit()))
 	n.metrics.set("members", int64(s.Members()))
+	n.setTreeMetrics(s.Trees())
 	n.metrics.set("ranges_epoch", int64(s.Digest().RangesProgress()))
 	n.metrics.set("tables_confirmed_age_milliseconds", int64(s.Digest().SinceConfirmed()))
 	n.metrics.set("revision_config", int64(s.Digest().Config()))
@@ -86,3 +90,19 @@
 		n.log.warn("node: failed to write the status page", "error", err)
 	}
 }
+
+// setTreeMetrics sets the gauges of the decisions about call trees.
+func (n *Node) setTreeMetrics(c jackdawbridge.TreeCounts) {
+	n.metrics.set("second_tries_granted", int64(c.Granted()))
+	n.metrics.set("second_tries_denied", int64(c.Denied()))
+	n.metrics.set("second_tries_threshold", int64(c.RetryThreshold()))
+	n.metrics.set("rejected_permille", int64(c.Rejected()))
+	n.metrics.set("trees_threshold", int64(c.Threshold()))
+	n.metrics.set("trees_load_permille", int64(c.Load()))
+	n.metrics.set("trees_tables_emptied", int64(c.Evicted()))
+	for rank := jackdawbridge.Level(1); rank <= jackdawbridge.MaxRank; rank++ {
+		if refused := c.Refused(rank); refused > 0 {
+			n.metrics.set("trees_refused_rank_"+strconv.Itoa(int(rank)), int64(refused))
+		}
+	}
+}
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -60,6 +60,7 @@
 	defaultAllowance int                            // retry allowance of a caller's request whose route sets none
 	retryBudgets     retryBudgets
 	forecast         *admission.Forecast
+	refusedTrees     [jackdawbridge.MaxRank + 1]int // requests refused for a service behind the first one, by rank
 	deadlines        heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	backoffs         heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free             *pool.Pool[call]
@@ -192,7 +193,11 @@
 		p.start(c)
 		return
 	}
-	if !c.internal() && (p.sheds(c) || p.refusesTree(c)) {
+	if !c.internal() && p.refusesTree(c) {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(p.treeRetryAfter()))
+		return
+	}
+	if !c.internal() && p.sheds(c) {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -61,6 +61,8 @@
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
 	tries         *admission.Tries
 	gate          admission.Gate
+	triesGranted  int // second tries of calls that the backend server rejected
+	triesDenied   int
 	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
 }
 
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -10,5 +10,12 @@
 	ready := r.settings.ready() && !r.drain.stopping
 	return jackdawbridge.NewStatus(r.self, r.digest(), ready, r.drain.stopping).
 		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
-		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit())
+		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
+		WithTrees(r.trees())
+}
+
+// trees returns the decisions about call trees.
+func (r *Reducer) trees() jackdawbridge.TreeCounts {
+	return jackdawbridge.NewTreeCounts(r.runs.triesGranted, r.runs.triesDenied, r.calls.refusedTrees, r.calls.forecast.Evicted()).
+		WithService(r.runs.threshold(), r.runs.tries.Threshold(r.now), r.runs.tries.Rejected(r.now), r.runs.gate.Load())
 }
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -114,11 +114,18 @@
 	if admission.EntryPrecedence(c.envelope.Precedence()) >= threshold {
 		return false
 	}
+	p.refusedTrees[c.rank()]++
 	p.r.fx.Log(jackdawbridge.PartCall, "request refused before any work: a service that it reaches has no room").About(c.request.ID(), c.target).
 		Str("binding", string(service)).Int("precedence", int64(admission.EntryPrecedence(c.envelope.Precedence()))).Int("threshold", int64(threshold))
 	return true
 }
 
+// treeRetryAfter returns the time after which a refused tree may find room. It is spread, so
+// that the requests that are refused together do not come back together.
+func (p *calls) treeRetryAfter() jackdawbridge.Millis {
+	return shedRetryAfter + jackdawbridge.Millis(p.r.routes.random.Uint64()%uint64(shedRetryAfter))
+}
+
 // learnUsage adds what an attempt used to that of the run for which the backend server
 // made the call.
 func (p *calls) learnUsage(c *call, feedback *jackdawbridge.Feedback, served bool) {
@@ -141,7 +148,15 @@
 // grantRetry reports whether a request that the backend server has rejected may be sent to
 // another one.
 func (p *runs) grantRetry(u *run, reason jackdawbridge.Reason) bool {
-	return reason == jackdawbridge.BackendFull && p.tries.Reject(p.r.now, u.envelope.Precedence())
+	if reason != jackdawbridge.BackendFull {
+		return false
+	}
+	if !p.tries.Reject(p.r.now, u.envelope.Precedence()) {
+		p.triesDenied++
+		return false
+	}
+	p.triesGranted++
+	return true
 }
 
 // usage returns what a request has used of this service and of those that it called, with
@@ -153,7 +168,12 @@
 		calls, work = 1, max(p.r.now-u.began-u.childTime, 0)
 	}
 	usage.Add(jackdawbridge.NewServiceUsage(u.envelope.Service(), calls, work).
-		WithThresholds(p.gate.Threshold(p.r.now, p.limiter.Limit(), p.queue.Level(p.r.now) > 0), p.tries.Threshold(p.r.now)).
+		WithThresholds(p.threshold(), p.tries.Threshold(p.r.now)).
 		WithRejected(p.tries.Rejected(p.r.now)))
 	return usage
 }
+
+// threshold returns the precedence below which this service has no room for new trees.
+func (p *runs) threshold() jackdawbridge.Precedence {
+	return p.gate.Threshold(p.r.now, p.limiter.Limit(), p.queue.Level(p.r.now) > 0)
+}
--- a/status.go
+++ b/status.go
@@ -11,6 +11,7 @@
 	waiting  int // how many of the runs wait
 	limit    int // concurrent runs that are allowed
 	members  int // other nodes in the member list
+	trees    TreeCounts
 }
 
 // NewStatus returns the status of a node.
@@ -34,6 +35,15 @@
 	return s
 }
 
+// WithTrees returns s with the decisions about call trees.
+func (s Status) WithTrees(trees TreeCounts) Status {
+	s.trees = trees
+	return s
+}
+
+// Trees returns the decisions about call trees.
+func (s Status) Trees() TreeCounts { return s.trees }
+
 // Self returns the node as it announces itself.
 func (s Status) Self() Peer { return s.self }
 
@@ -67,3 +77,52 @@
 	// Status returns a summary of the state.
 	Status() Status
 }
+
+// TreeCounts holds the decisions of a node about call trees since its start, and what they
+// rest on.
+type TreeCounts struct {
+	granted, denied int
+	refused         [MaxRank + 1]int // by rank
+	evicted         int
+	threshold       Precedence
+	retryThreshold  Precedence
+	rejected        int // permille
+	load            int // permille
+}
+
+// NewTreeCounts returns the numbers of second tries that were granted and denied, of requests
+// refused at the front by rank, and of tables emptied because they were full.
+func NewTreeCounts(granted, denied int, refused [MaxRank + 1]int, evicted int) TreeCounts {
+	return TreeCounts{granted: granted, denied: denied, refused: refused, evicted: evicted}
+}
+
+// WithService returns c with the thresholds of the node's service, the part of the calls that
+// its backend server rejects and the work that arrives, in permille of the room.
+func (c TreeCounts) WithService(threshold, retryThreshold Precedence, rejected, load int) TreeCounts {
+	c.threshold, c.retryThreshold, c.rejected, c.load = threshold, retryThreshold, rejected, load
+	return c
+}
+
+// Granted returns the number of second tries that were granted.
+func (c TreeCounts) Granted() int { return c.granted }
+
+// Denied returns the number of second tries that were denied.
+func (c TreeCounts) Denied() int { return c.denied }
+
+// Refused returns the number of requests of a rank that were refused at the front.
+func (c TreeCounts) Refused(rank Level) int { return c.refused[min(rank, MaxRank)] }
+
+// Evicted returns how often a table was emptied because it was full.
+func (c TreeCounts) Evicted() int { return c.evicted }
+
+// Threshold returns the precedence below which the node's service has no room.
+func (c TreeCounts) Threshold() Precedence { return c.threshold }
+
+// RetryThreshold returns the precedence below which the node grants no second try.
+func (c TreeCounts) RetryThreshold() Precedence { return c.retryThreshold }
+
+// Rejected returns the part of the calls that the backend server rejects, in permille.
+func (c TreeCounts) Rejected() int { return c.rejected }
+
+// Load returns the work that arrives, in permille of the room.
+func (c TreeCounts) Load() int { return c.load }
