reducer, node: log lines and metrics say who cancelled an attempt

The Cancel effect now carries its cause: the caller, the end of the parent, the deadline, the stop of the process, an upstream that does not answer. The line has it as cancelled_by, the counters are cancelled_by_CAUSE_total.

--- a/effect.go
+++ b/effect.go
@@ -85,14 +85,36 @@
 type Cancel struct {
 	call    CallID
 	attempt int // 0 for a run
+	cause   CancelCause
 }
 
+// Cause returns who gave up.
+func (c *Cancel) Cause() CancelCause { return c.cause }
+
 // Call returns the call.
 func (c *Cancel) Call() CallID { return c.call }
 
 // Attempt returns the attempt, 0 for a run.
 func (c *Cancel) Attempt() int { return c.attempt }
 
+// CancelCause tells why an attempt or a run was cancelled.
+type CancelCause uint8
+
+// The causes.
+const (
+	CallerGone      CancelCause = iota // the caller, or the entry node of a run, has given up
+	ParentEnded                        // the run that made the call has ended
+	DeadlineReached                    // of the call
+	ProcessStops                       // the grace period of this process is over
+	UpstreamSilent                     // the call is sent to another upstream
+	QueueFull                          // too many decisions about the request wait
+)
+
+// String returns the cause as it appears in log lines and metrics.
+func (c CancelCause) String() string {
+	return enumName(c, "caller", "parent", "deadline", "stop", "silent_upstream", "full_queue")
+}
+
 // Withdraw stops the intake of requests before the exit of the process. The nodes of
 // upstreams refuse the attempts in progress that are not yet running, attempts that
 // are not yet sent fail as not run, and requests whose bodies are still being read are
@@ -266,9 +288,9 @@
 }
 
 // Cancel adds a Cancel effect.
-func (e *Effects) Cancel(call CallID, attempt int) {
+func (e *Effects) Cancel(call CallID, attempt int, cause CancelCause) {
 	c := e.cancels.New()
-	*c = Cancel{call: call, attempt: attempt}
+	*c = Cancel{call: call, attempt: attempt, cause: cause}
 	e.list = append(e.list, c)
 }
 
--- a/node/caller.go
+++ b/node/caller.go
@@ -176,7 +176,7 @@
 		}
 		n.metrics.count("attempts_failed")
 		n.log.warn("node: attempt at an upstream failed", "request", string(d.envelope.ID()), "upstream", d.target.Node().String(),
-			"outcome", refusal.Outcome().String(), "error", failure)
+			"outcome", refusal.Outcome().String(), "error", failure, "cancelled_by", x.cancelledBy(d.attempt))
 		n.apply(jackdawbridge.NewAttemptFailed(n.now(), x.call, d.attempt, refusal, jackdawbridge.NewFeedback(0, unused), failure.ConnectionRefused()))
 		return
 	}
--- a/node/exchange.go
+++ b/node/exchange.go
@@ -46,9 +46,10 @@
 	backend *backendAnswer        // answer of the local backend server, at the upstream's node
 
 	mu            sync.Mutex
-	attempt       int                // number of the last attempt, 0 for a run
-	cancel        context.CancelFunc // cancels the attempt in progress; nil if there is none
-	lastCancelled int                // highest attempt that was cancelled, -1 if none was
+	attempt       int                       // number of the last attempt, 0 for a run
+	cancel        context.CancelFunc        // cancels the attempt in progress; nil if there is none
+	lastCancelled int                       // highest attempt that was cancelled, -1 if none was
+	cause         jackdawbridge.CancelCause // of that
 }
 
 func newExchange(call jackdawbridge.CallID) *exchange {
@@ -79,15 +80,25 @@
 // cancelAttempt cancels an attempt, or a run as attempt 0. An attempt is reset on its
 // link, which stays open for other requests; a run's connection to the backend server
 // is closed.
-func (x *exchange) cancelAttempt(attempt int) {
+func (x *exchange) cancelAttempt(attempt int, cause jackdawbridge.CancelCause) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.lastCancelled = max(x.lastCancelled, attempt)
+	x.lastCancelled, x.cause = max(x.lastCancelled, attempt), cause
 	if x.cancel != nil && x.attempt == attempt {
 		x.cancel()
 	}
 }
 
+// cancelledBy returns who gave up an attempt, "" if it was not cancelled.
+func (x *exchange) cancelledBy(attempt int) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.lastCancelled < attempt {
+		return ""
+	}
+	return x.cause.String()
+}
+
 // close releases the resources of the last attempt. An answer that has not been read
 // to its end is aborted.
 func (x *exchange) close() {
--- a/node/node.go
+++ b/node/node.go
@@ -233,7 +233,8 @@
 		n.sendDecision(e.Call(), decision{kind: decideRefuse, refusal: e.Refusal(), feedback: e.Feedback()})
 	case *jackdawbridge.Cancel:
 		if x, ok := n.exchanges[e.Call()]; ok {
-			x.cancelAttempt(e.Attempt())
+			x.cancelAttempt(e.Attempt(), e.Cause())
+			n.metrics.count("cancelled_by_" + e.Cause().String())
 		}
 	case *jackdawbridge.Withdraw:
 		n.withdraw()
@@ -280,7 +281,7 @@
 	case x.decisions <- d:
 	default:
 		n.log.warn("node: decision dropped and attempt cancelled: queue of the request is full", "call", uint64(call))
-		x.cancelAttempt(d.attempt)
+		x.cancelAttempt(d.attempt, jackdawbridge.QueueFull)
 	}
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -104,7 +104,7 @@
 		outcome = jackdawbridge.NotRun
 	}
 	n.metrics.count("runs_failed")
-	n.log.warn("node: request to the backend server failed", "request", string(envelope.ID()), "outcome", outcome.String(), "error", failure)
+	n.log.warn("node: request to the backend server failed", "request", string(envelope.ID()), "outcome", outcome.String(), "error", failure, "cancelled_by", x.cancelledBy(0))
 	// A loss of the backend server must be reported before the end of this run, so
 	// that the reducer still counts the run among the requests in flight at the loss.
 	if !errors.Is(failure, context.Canceled) {
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -340,7 +340,7 @@
 	if !ok {
 		return
 	}
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.CallerGone)
 	p.logEnd("request cancelled by the caller", c)
 	p.end(c, p.failure(c, jackdawbridge.Cancelled).Outcome())
 }
@@ -373,7 +373,7 @@
 
 // cancelAttempt cancels the attempt in progress, if any, and records that it may have
 // run.
-func (p *calls) cancelAttempt(c *call) {
+func (p *calls) cancelAttempt(c *call, cause jackdawbridge.CancelCause) {
 	if c.stage != stageForward && c.stage != stageAnswered {
 		return
 	}
@@ -381,7 +381,7 @@
 		p.r.routes.attemptEnded(c.target, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.Cancelled, jackdawbridge.Feedback{})
 	}
 	c.maybeRan = true
-	p.r.fx.Cancel(c.id, c.attempt)
+	p.r.fx.Cancel(c.id, c.attempt, cause)
 }
 
 // end removes a call and reports its end to the parts that keep state for it.
@@ -432,7 +432,7 @@
 // runEnded ends a call whose run has ended.
 func (p *calls) runEnded(c *call) {
 	answered := c.stage == stageAnswered
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.ParentEnded)
 	if answered {
 		p.end(c, jackdawbridge.Unknown)
 		return
@@ -462,7 +462,7 @@
 		if !ok || c.stage == stageAnswered {
 			continue
 		}
-		p.cancelAttempt(c)
+		p.cancelAttempt(c, jackdawbridge.ProcessStops)
 		p.refuse(c, p.failure(c, jackdawbridge.Draining))
 	}
 }
@@ -471,7 +471,7 @@
 // on is truncated.
 func (p *calls) timeout(c *call) {
 	answered := c.stage == stageAnswered
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.DeadlineReached)
 	if answered {
 		p.end(c, jackdawbridge.Unknown)
 		return
--- a/reducer/reach.go
+++ b/reducer/reach.go
@@ -132,7 +132,7 @@
 			return // the retry budget is used up
 		}
 		p.r.routes.attemptEnded(node, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.UpstreamFailed, jackdawbridge.Feedback{})
-		p.r.fx.Cancel(c.id, c.attempt)
+		p.r.fx.Cancel(c.id, c.attempt, jackdawbridge.UpstreamSilent)
 		c.maybeRan = true
 		c.allowance += c.passedRetries
 		c.passedRetries = 0
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -269,7 +269,7 @@
 		p.dispatch()
 		return
 	}
-	p.r.fx.Cancel(id, 0)
+	p.r.fx.Cancel(id, 0, jackdawbridge.CallerGone)
 	p.end(u, true)
 	p.dispatch()
 }
@@ -293,7 +293,7 @@
 		if !ok || u.state != runRunning {
 			continue
 		}
-		p.r.fx.Cancel(u.id, 0)
+		p.r.fx.Cancel(u.id, 0, jackdawbridge.ProcessStops)
 		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.Draining), p.feedback(u, p.level(u), 0))
 		p.end(u, true)
 	}
@@ -363,7 +363,7 @@
 		p.dispatch()
 		return
 	}
-	p.r.fx.Cancel(u.id, 0)
+	p.r.fx.Cancel(u.id, 0, jackdawbridge.DeadlineReached)
 	if u.state == runRunning {
 		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.feedback(u, p.level(u), 0))
 	}
