--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -126,8 +126,8 @@
 }
 
 // TestTriesBound guards against second tries beyond the configured part: in any order of
-// events, those that are granted or arrive unasked in 10 s stay below it for the arrivals of
-// the last 25 s, apart from what may accumulate.
+// events, those that a node has granted since its start stay below that part of the first
+// arrivals, apart from the burst.
 func TestTriesBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const permille, burst = 200, 4
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -9,8 +9,8 @@
 )
 
 // precedence returns the order of a caller's request among those that reach the same
-// services. Within a rank the requests that make the fewest calls go first, and then a
-// hash decides, so that the same trees go first at each of their calls.
+// services. Within a rank a hash decides, so that the same trees go first at each of their
+// calls.
 func (p *calls) precedence(c *call) jackdawbridge.Precedence {
 	return admission.NewPrecedence(c.rank(), 0, uint8(xxhash.Sum64String(string(c.request.ID()))))
 }
