--- a/reducer/run.go
+++ b/reducer/run.go
@@ -62,6 +62,8 @@
 	runTimes      [jackdawbridge.MaxClass + 1]runTime // typical run time of each class
 	tries         *admission.Tries
 	gate          admission.Gate
+	triesGranted  int // second tries of calls that the backend server rejected
+	triesDenied   int
 	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
 	work          backendWork
 }
@@ -275,7 +277,7 @@
 		p.dispatch()
 		return
 	}
-	p.r.fx.Cancel(id, 0)
+	p.r.fx.Cancel(id, 0, jackdawbridge.CallerGone)
 	p.end(u, true)
 	p.dispatch()
 }
@@ -299,7 +301,7 @@
 		if !ok || u.state != runRunning {
 			continue
 		}
-		p.r.fx.Cancel(u.id, 0)
+		p.r.fx.Cancel(u.id, 0, jackdawbridge.ProcessStops)
 		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.Draining), p.feedback(u, p.level(u), 0))
 		p.end(u, true)
 	}
@@ -373,7 +375,7 @@
 		p.dispatch()
 		return
 	}
-	p.r.fx.Cancel(u.id, 0)
+	p.r.fx.Cancel(u.id, 0, jackdawbridge.DeadlineReached)
 	if u.state == runRunning {
 		p.r.fx.Refuse(u.id, jackdawbridge.UnknownRefusal(jackdawbridge.DeadlinePassed), p.feedback(u, p.level(u), 0))
 	}
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -12,5 +12,12 @@
 		WithCounts(len(r.calls.active), len(r.runs.active), len(r.members.known)).
 		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
 		WithSlowStart(r.warmup.left(), r.warmup.refused, r.evacuation.since != 0).
-		WithPlacing(jackdawbridge.NewPlacing(r.routes.estimated, r.runs.work.estimate.Clamped(), r.runs.work.expected, r.runs.work.actual))
+		WithPlacing(jackdawbridge.NewPlacing(r.routes.estimated, r.runs.work.estimate.Clamped(), r.runs.work.expected, r.runs.work.actual)).
+		WithTrees(r.trees())
+}
+
+// trees returns the decisions about call trees.
+func (r *Reducer) trees() jackdawbridge.TreeCounts {
+	return jackdawbridge.NewTreeCounts(r.runs.triesGranted, r.runs.triesDenied, r.calls.refusedTrees, r.calls.forecast.Evicted()).
+		WithService(r.runs.threshold(), r.runs.tries.Threshold(r.now), r.runs.tries.Rejected(r.now), r.runs.gate.Load())
 }
