--- a/picker/completion.go
+++ b/picker/completion.go
@@ -89,12 +89,11 @@
 	return g.best
 }
 
-// weight returns the weight of a candidate in the draw: the eighth power of the least
+// weight returns the weight of a candidate in the draw: the fourth power of the least
 // expected completion divided by its own.
 func (g group) weight(c *jackdawbridge.Candidate) float64 {
 	w := g.least / completion(c, g.slots)
 	w = float64(w * w)
-	w = float64(w * w)
 	return float64(w * w)
 }
 
