estimate: the first runs of a class are averaged without bounds

A class there holds routes that take 1 ms; where such a run came first, the bound on deviations kept the average low: 35 ms after one run of 1 ms and 12 of 100 ms, 92 ms with the change (estimate/testdata/backend).

--- a/estimate/backend.go
+++ b/estimate/backend.go
@@ -18,6 +18,9 @@
 	// and from below. A long run among short ones, or some runs of a route that takes a
 	// hundredth of the time, say nothing about the speed of the backend server.
 	maxDeviation = 3
+	// boundedRuns is the number of runs in an average from which maxDeviation applies. The
+	// first run may be the exception itself.
+	boundedRuns = 8
 	// A pace outside of minPace and maxPace, relative to the usual one of the backend
 	// server, is not believed.
 	minPace = jackdawbridge.UsualPace / 4
@@ -106,8 +109,10 @@
 
 // add adds a run to the average.
 func (t *classTime) add(now jackdawbridge.Millis, ms float64) {
-	if t.runs > 0 {
+	if t.runs >= boundedRuns {
 		ms = min(max(ms, t.ms/maxDeviation), float64(maxDeviation*t.ms))
+	}
+	if t.runs > 0 {
 		t.runs = float64(t.runs*runsHalfLife) / (runsHalfLife + float64(max(now-t.at, 0)))
 	}
 	t.runs = min(t.runs+1, fullWeightRuns)
