node: whole heads of many fields count with their copies; forwarded ones count too

Change: a field counts 320 bytes, and a connection has 8 KB outside the budget, so that an ordinary head still takes no lock. ServeInbound charges a head of more than 25 fields and refuses it as not run if it does not fit; the link stays open.

--- a/node/listen.go
+++ b/node/listen.go
@@ -94,7 +94,7 @@
 		onEvicted: func() { n.metrics.count("connections_evicted_" + name) },
 	}
 	server := &http.Server{
-		Handler:   n.limitBodyWait(trackRequest(handler)),
+		Handler:   n.limitBodyWait(n.trackRequest(handler)),
 		ConnState: connections.setState,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
--- a/node/reading.go
+++ b/node/reading.go
@@ -9,16 +9,17 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/budget"
 )
 
 const (
 	// freeBytes is what a connection may hold outside the read budget, in bytes. An ordinary
 	// request without a body holds less, so that it does not touch the budget.
-	freeBytes = 4 << 10
+	freeBytes = 8 << 10
 	// fieldBytes is the memory of a header field in bytes, apart from its text: its entries
 	// in the maps of the parsed header and of the forwarded one.
-	fieldBytes = 160
+	fieldBytes = 320
 	// copiesOfText is how often the text of a head is held: as it was read and as it is
 	// forwarded.
 	copiesOfText = 2
@@ -56,7 +57,8 @@
 }
 
 // charge adds bytes to what a connection holds, and evicts others if they do not fit. It
-// reports false if the connection is evicted itself.
+// reports false if the connection is evicted itself. If waits is set, the connection waits
+// for its client, so that it can be evicted later.
 func (r *readBudget) charge(c *boundedConn, size int64, waits bool) bool {
 	r.mu.Lock()
 	if c.evicted.Load() {
@@ -74,17 +76,60 @@
 	} else if waits {
 		r.budget.Wait(c.holder)
 	}
-	ended := make([]*boundedConn, 0, len(evicted))
+	conns := r.takeConns(evicted)
+	r.mu.Unlock()
+	r.evict(conns)
+	return ok
+}
+
+// chargeForwarded holds the header of a request that a peer has forwarded, which waits for
+// no client. It returns 0 for an ordinary header, and reports false if the header does not
+// fit.
+func (r *readBudget) chargeForwarded(fields int) (holder budget.Holder, fits bool) {
+	size := fieldBytes * int64(fields)
+	if size <= freeBytes {
+		return 0, true
+	}
+	r.mu.Lock()
+	r.last++
+	holder = r.last
+	evicted, ok := r.budget.Charge(holder, size)
+	conns := r.takeConns(evicted)
+	r.mu.Unlock()
+	r.evict(conns)
+	if !ok {
+		r.metrics.count("reads_refused_peer")
+	}
+	return holder, ok
+}
+
+// releaseForwarded frees what chargeForwarded has charged.
+func (r *readBudget) releaseForwarded(holder budget.Holder) {
+	if holder == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Release(holder)
+}
+
+// takeConns removes the connections of holders that were evicted and returns them. r.mu is
+// held.
+func (r *readBudget) takeConns(evicted []budget.Holder) []*boundedConn {
+	conns := make([]*boundedConn, 0, len(evicted))
 	for _, h := range evicted {
-		ended = append(ended, r.conns[h])
+		conns = append(conns, r.conns[h])
 		delete(r.conns, h)
 	}
-	r.mu.Unlock()
-	for _, other := range ended {
-		r.metrics.count("reads_evicted_" + other.part())
-		other.evict()
+	return conns
+}
+
+// evict ends the requests of connections that were evicted.
+func (r *readBudget) evict(conns []*boundedConn) {
+	for _, c := range conns {
+		r.metrics.count("reads_evicted_" + c.part())
+		c.evict()
 	}
-	return ok
 }
 
 // release frees everything that a connection holds.
@@ -102,6 +147,7 @@
 	r.releaseLocked(c)
 }
 
+// releaseLocked is release with r.mu held.
 func (r *readBudget) releaseLocked(c *boundedConn) {
 	if c.holder != 0 {
 		r.budget.Release(c.holder)
@@ -217,7 +263,7 @@
 }
 
 // trackRequest marks the begin and the end of a request for its connection.
-func trackRequest(handler http.Handler) http.Handler {
+func (n *Node) trackRequest(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*boundedConn)
 		if !ok {
@@ -232,8 +278,7 @@
 		defer c.endRequest(r)
 		// Fields of a pipelined request may have been read with the request before it.
 		if fields := fieldBytes * int64(len(r.Header)); fields > c.bytes && !c.hold(fields-c.bytes) {
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			n.refuseUnread(w, r, jackdawbridge.Overloaded)
 			return
 		}
 		handler.ServeHTTP(w, r)
--- a/node/run.go
+++ b/node/run.go
@@ -29,6 +29,12 @@
 	if ctx.Err() != nil {
 		return // the entry node has cancelled the request before a goroutine was free for it
 	}
+	held, fits := n.reading.chargeForwarded(len(in.ForwardedRequest().Header()))
+	if !fits {
+		n.replyRefusal(in, decision{refusal: jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded), feedback: jackdawbridge.NewFeedback(0, envelope.RetryAllowance())})
+		return
+	}
+	defer n.reading.releaseForwarded(held)
 	x := n.openExchange()
 	defer n.endExchange(x)
 	n.apply(jackdawbridge.NewForwardArrived(n.now(), x.call, envelope))
