cmd: memory limit of the garbage collector by the memory of the machine

Cause: the requests that the read budget evicts in a burst leave garbage faster than the collector frees it. Trial with the limits of production (GOGC=50, 4100 descriptors, read budget of 32 MB): crowds of 2000 bodies, 1500 heads of many lines and 1500 heads of one long line took 103, 163 and 237 MB at peak, on machines that have 184.

--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -74,7 +74,7 @@
 	BodyBytes      int64         `default:"268435456" help:"Maximum size of a request body in bytes."`
 	BodyRate       int64         `default:"16384" help:"Minimum rate at which a body must arrive, in bytes per second."`
 	BodyGrace      time.Duration `default:"5s" help:"Time before the minimum rate of a body is enforced."`
-	ReadBytes      int64         `default:"33554432" help:"Maximum memory in bytes for requests that are read and not yet answered. Above it, requests whose clients have stopped sending are refused, the oldest first. One request alone always fits."`
+	ReadBytes      int64         `default:"25165824" help:"Maximum memory in bytes for requests that are read and not yet answered. Above it, requests whose clients have stopped sending are refused, the oldest first. One request alone always fits."`
 	MaxConns       int           `default:"4096" help:"Maximum number of connections of each listener."`
 	Idle           time.Duration `default:"2m" help:"Idle timeout of connections to the listeners."`
 	Heartbeat      time.Duration `default:"3s" help:"Time without an announcement after which the backend server is considered lost."`
@@ -95,6 +95,7 @@
 
 // Run runs the node until it has stopped after SIGTERM or SIGINT.
 func (c *nodeCommand) Run() error {
+	limitMemory()
 	addresses, self, err := c.identity()
 	if err != nil {
 		return err
--- a/node/limits.go
+++ b/node/limits.go
@@ -31,7 +31,7 @@
 	return Limits{
 		maxHeaderBytes: 32 << 10, headerTimeout: 5 * time.Second,
 		maxBodyBytes: 256 << 20, minBodyRate: 16 << 10, bodyGrace: 5 * time.Second,
-		writeTimeout: 10 * time.Second, readBytes: 32 << 20,
+		writeTimeout: 10 * time.Second, readBytes: 24 << 20,
 		maxConns: 4096, idleTimeout: 2 * time.Minute,
 		backendIdleTimeout: 30 * time.Second,
 		heartbeatTimeout:   3 * time.Second, linger: 2 * time.Second, gracePeriod: 30 * time.Second,
