--- a/queue/priority.go
+++ b/queue/priority.go
@@ -17,10 +17,8 @@
 	// need. Critical calls wait until their deadline: with a limit of 600 to 1000 ms,
 	// one node shed them while another admitted calls of lower rank.
 	waitPerRank = 100 * jackdawbridge.Millis(1)
-	// stagesPerLimit is the number of stages that add the wait of stage 0 once more;
-	// beyond maxPatientStage none is added.
-	stagesPerLimit  = 4
-	maxPatientStage = 8
+	// stagesPerLimit is the number of stages that add the wait of stage 0 once more.
+	stagesPerLimit = 4
 	// minCriticalRank is the lowest rank of critical calls.
 	minCriticalRank = int(jackdawbridge.CriticalRank)
 )
@@ -29,7 +27,7 @@
 	ranks  = int(jackdawbridge.MaxRank) + 1
 	depths = jackdawbridge.MaxDepth + 1
 	// stages is the number of steps of progress of a tree that are told apart.
-	stages = jackdawbridge.MaxDepth + 1 + admission.MaxLeft
+	stages = admission.MaxLeft + 1
 	none   = int32(-1)
 )
 
@@ -366,21 +364,21 @@
 	return none
 }
 
-// stage returns how far the tree of a call has come: 0 for a caller's request, and more for
-// deeper calls and for those that have fewer calls after them.
+// stage returns how far the tree of a call has come: 0 for a caller's request and for calls
+// of which nothing is known, and more for those that have fewer calls after them.
 func stage(c jackdawbridge.QueuedCall) int {
 	if c.Depth() == 0 {
 		return 0
 	}
-	return c.Depth() + admission.MaxLeft - admission.Left(c.Precedence())
+	return admission.MaxLeft - admission.Left(c.Precedence())
 }
 
 // standingWaitLimit returns how long a call of a rank below critical may wait in a
-// standing queue. Calls of trees near their end wait longer, up to a bound, so that the
+// standing queue. Calls of trees near their end wait longer, so that the
 // trees that are refused are those that have cost the least.
 func standingWaitLimit(rank, stage int) jackdawbridge.Millis {
 	limit := waitPerRank * jackdawbridge.Millis(rank)
-	return limit + limit*jackdawbridge.Millis(min(stage, maxPatientStage))/stagesPerLimit
+	return limit + limit*jackdawbridge.Millis(stage)/stagesPerLimit
 }
 
 // take removes an entry and returns its call.
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -17,10 +17,14 @@
 
 // childPrecedence returns the precedence of the next call of a run. It rises with each call
 // that the run has behind it: a second try of the last one gains a whole request, and one
-// of the first gains only the chance to need more.
+// of the first gains only the chance to need more. Where runs make a single call, nothing
+// is told apart.
 func (p *runs) childPrecedence(u *run) jackdawbridge.Precedence {
-	left := max(p.callCounts[u.class()].Round()-u.served-1, 0)
-	own := u.envelope.Precedence()
+	own, calls := u.envelope.Precedence(), p.callCounts[u.class()].Round()
+	left := admission.MaxLeft
+	if calls > 1 {
+		left = max(calls-u.served-1, 0)
+	}
 	return admission.NewPrecedence(own.Rank(), left, own.Order())
 }
 
