--- a/reducer/call.go
+++ b/reducer/call.go
@@ -60,6 +60,7 @@
 	defaultAllowance int                            // retry allowance of a caller's request whose route sets none
 	retryBudgets     retryBudgets
 	forecast         *admission.Forecast
+	refusedTrees     [jackdawbridge.MaxRank + 1]int // requests refused for a service behind the first one, by rank
 	deadlines        heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis]
 	backoffs         heap.Heap[jackdawbridge.CallID, jackdawbridge.Millis] // ends of the waits before retries
 	free             *pool.Pool[call]
@@ -192,7 +193,11 @@
 		p.start(c)
 		return
 	}
-	if !c.internal() && (p.sheds(c) || p.refusesTree(c)) {
+	if !c.internal() && p.refusesTree(c) {
+		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(p.treeRetryAfter()))
+		return
+	}
+	if !c.internal() && p.sheds(c) {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded).WithRetryAfter(shedRetryAfter))
 		return
 	}
@@ -335,7 +340,7 @@
 	if !ok {
 		return
 	}
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.CallerGone)
 	p.logEnd("request cancelled by the caller", c)
 	p.end(c, p.failure(c, jackdawbridge.Cancelled).Outcome())
 }
@@ -368,7 +373,7 @@
 
 // cancelAttempt cancels the attempt in progress, if any, and records that it may have
 // run.
-func (p *calls) cancelAttempt(c *call) {
+func (p *calls) cancelAttempt(c *call, cause jackdawbridge.CancelCause) {
 	if c.stage != stageForward && c.stage != stageAnswered {
 		return
 	}
@@ -376,7 +381,7 @@
 		p.r.routes.attemptEnded(c.target, p.r.now-c.sent, jackdawbridge.Unknown, jackdawbridge.Cancelled, jackdawbridge.Feedback{})
 	}
 	c.maybeRan = true
-	p.r.fx.Cancel(c.id, c.attempt)
+	p.r.fx.Cancel(c.id, c.attempt, cause)
 }
 
 // end removes a call and reports its end to the parts that keep state for it.
@@ -427,7 +432,7 @@
 // runEnded ends a call whose run has ended.
 func (p *calls) runEnded(c *call) {
 	answered := c.stage == stageAnswered
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.ParentEnded)
 	if answered {
 		p.end(c, jackdawbridge.Unknown)
 		return
@@ -457,7 +462,7 @@
 		if !ok || c.stage == stageAnswered {
 			continue
 		}
-		p.cancelAttempt(c)
+		p.cancelAttempt(c, jackdawbridge.ProcessStops)
 		p.refuse(c, p.failure(c, jackdawbridge.Draining))
 	}
 }
@@ -466,7 +471,7 @@
 // on is truncated.
 func (p *calls) timeout(c *call) {
 	answered := c.stage == stageAnswered
-	p.cancelAttempt(c)
+	p.cancelAttempt(c, jackdawbridge.DeadlineReached)
 	if answered {
 		p.end(c, jackdawbridge.Unknown)
 		return
