admission: second tries stay a part of the arrivals in every span of 10 s

Cause: the arrivals of 10 s earn tries while they are recent and again while they are those of the span that ended 5 s ago. When 100 first arrivals in a window of 100 ms fall to 10 and 10 are rejected, a node granted 460 tries in the span with 1,000 first arrivals that begins 10 s later, which allows 200 and the burst. TestTriesBound plays 10 s only and does not see it.

Ruled out: the capacity of the balance, which is the burst and 4 windows of earnings; a cap over the last 10 s alone, which still let arrivals from 10 to 15 s before a span pay in it.

Change: a ledger of the first arrivals and charged tries of the last 20 s. Each window, the room is the least over all spans that include it. The rates at which tries are earned are as before.

TestTriesBoundOfSpan fails before (87 tries in a span without arrivals) and passes 3,000 draws after it.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -196,3 +196,37 @@
 		forecast.Threshold(at, key)
 	}
 }
+
+// TestTriesBoundOfSpan guards against second tries beyond the configured part in any span of
+// 10 s when the first arrivals become fewer: they may be compared with the arrivals of that
+// span, of the one before it, or of the one that began 5 s before it.
+func TestTriesBoundOfSpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const permille, burst, length = 200, 4, 400
+		tries := NewTries(permille, burst)
+		phase := rapid.IntRange(20, 200).Draw(t, "phase")
+		rates := rapid.SliceOfN(rapid.IntRange(0, 100), length/20, length/20).Draw(t, "rates")
+		var firsts, granted [length + 1]int // sums up to each window
+		for i := range length {
+			n, at := rates[i/phase], jackdawbridge.Millis(i)*window
+			for range n {
+				tries.Arrive(at, false)
+			}
+			firsts[i+1], granted[i+1] = firsts[i]+n, granted[i]
+			for range 40 {
+				if tries.Reject(at, NewPrecedence(jackdawbridge.CriticalRank, 0, 0)) {
+					granted[i+1]++
+				}
+			}
+			sum := func(counts *[length + 1]int, from, to int) int {
+				return counts[max(to, 0)] - counts[max(from, 0)]
+			}
+			end := i + 1
+			offered := max(sum(&firsts, end-earnSpan, end), sum(&firsts, end-earnSpan-earnLag, end-earnLag), sum(&firsts, end-2*earnSpan, end-earnSpan))
+			most := offered*permille/1000 + burst
+			if got := sum(&granted, end-earnSpan, end); got > most {
+				t.Fatalf("%d second tries in the 10 s to window %d with %d first arrivals: want at most %d", got, i, offered, most)
+			}
+		}
+	})
+}
--- a/admission/tries.go
+++ b/admission/tries.go
@@ -41,6 +41,8 @@
 type Tries struct {
 	permille    int // thousandths of a try that a first arrival earns, at least 0
 	firsts      earnings
+	ledger      ledger
+	room        int                  // tries that the ledger allows in the current window, in thousandths
 	earned      int                  // in a window, in thousandths of a try
 	burst       int                  // tries that may accumulate without recent arrivals, at least 0
 	capacity    int                  // tries that may accumulate, in thousandths: the burst and recent earnings
@@ -61,6 +63,7 @@
 	rejections int
 	grants     int
 	unasked    int // repeats that were charged though no try was granted for them
+	charges    int // tries that were charged
 }
 
 // NewTries returns a Tries in which a first arrival earns permille thousandths of a try,
@@ -68,7 +71,7 @@
 func NewTries(permille, burst int) *Tries {
 	t := &Tries{permille: max(permille, 0), burst: max(burst, 0)}
 	t.capacity = t.burst * 1000
-	t.balance = t.capacity
+	t.balance, t.room = t.capacity, t.capacity
 	return t
 }
 
@@ -105,7 +108,10 @@
 }
 
 // charge deducts a try.
-func (t *Tries) charge() { t.balance = max(t.balance-1000, -t.capacity) }
+func (t *Tries) charge() {
+	t.balance = max(t.balance-1000, -t.capacity)
+	t.current.charges++
+}
 
 // slack returns how many repeats may arrive beyond the tries granted here before they are
 // charged. Tries that one node of a service grants arrive at the others.
@@ -114,6 +120,9 @@
 // allows reports whether a call gets a second try. Critical calls may use a reserve, and
 // the threshold, which follows averages, binds them only once they do.
 func (t *Tries) allows(p jackdawbridge.Precedence) bool {
+	if (t.current.charges+1)*1000 > t.room {
+		return false
+	}
 	reserve := t.capacity / criticalReserve
 	if p.Rank() >= jackdawbridge.CriticalRank && t.balance >= 1000+reserve {
 		return true
@@ -150,7 +159,7 @@
 	for n := 0; at-t.began >= window; n++ {
 		if n == maxWindows {
 			t.began = at
-			t.firsts = earnings{}
+			t.firsts, t.ledger, t.room = earnings{}, ledger{}, t.burst*1000
 			return
 		}
 		t.began += window
@@ -167,6 +176,8 @@
 	fade(&t.average.grants, t.current.grants)
 	fade(&t.average.unasked, t.current.unasked)
 	t.firsts.add(t.current.firsts)
+	t.ledger.add(t.current.firsts, t.current.charges)
+	t.room = t.ledger.room(t.permille) + t.burst*1000
 	t.current = tally{}
 	t.demand.fade(&t.rejected)
 	t.earned = t.firsts.perWindow(t.permille)
