admission: a route is not refused for a service that it no longer reaches

Cause: the profile of a route adds the calls at the services in an answer's usage, and nothing for those that are not in it. The average of a service that a new version of the callers no longer calls, or that one request in a hundred calls four times, stays above the bound, and all requests of the route are refused by that service's threshold. A profile with eight services never takes a ninth.

Ruled out: the fall of the threshold without news, because other routes still hear it.

Change: services of the profile that a request has not reached count with no calls, and one with less than half a call on average makes room.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -39,8 +39,11 @@
 	case "forecast":
 		s.forecast = NewForecast()
 	case "learn":
-		usage := s.usage(t, d)
-		s.forecast.Learn(NewRouteKey("entry", "/"), &usage)
+		usage, count := s.usage(t, d), 1
+		d.MaybeScanArgs(t, "count", &count)
+		for range count {
+			s.forecast.Learn(NewRouteKey("entry", "/"), &usage)
+		}
 	case "hear":
 		usage := s.usage(t, d)
 		s.forecast.Hear(s.at, &usage)
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -94,7 +94,8 @@
 	return max(s.threshold-int(silent*rankUnit/fallTime), 0)
 }
 
-// Learn adds the usage of a request that was served to the profile of its route.
+// Learn adds the usage of a request that was served to the profile of its route. A service
+// of the profile that the request has not reached counts with no calls.
 func (f *Forecast) Learn(route RouteKey, usage *jackdawbridge.Usage) {
 	p, ok := f.routes[route]
 	if !ok {
@@ -105,6 +106,12 @@
 		p = &profile{}
 		f.routes[route] = p
 	}
+	for i := range p.length {
+		if s := &p.services[i]; !usage.Has(s.name) {
+			s.calls.Add(0)
+			s.work.Add(0)
+		}
+	}
 	for i := range usage.Len() {
 		u := usage.At(i)
 		if s := p.service(u.Service()); s != nil {
@@ -114,7 +121,8 @@
 	}
 }
 
-// service returns a service of the profile, and adds it if there is room.
+// service returns a service of the profile, and adds it if there is room or if another one
+// is hardly reached any more.
 func (p *profile) service(name jackdawbridge.ServiceName) *reached {
 	for i := range p.length {
 		if p.services[i].name == name {
@@ -122,6 +130,12 @@
 		}
 	}
 	if p.length == len(p.services) {
+		for i := range p.services {
+			if s := &p.services[i]; s.calls.Round() == 0 {
+				*s = reached{name: name}
+				return s
+			}
+		}
 		return nil
 	}
 	p.services[p.length].name = name
--- a/usage.go
+++ b/usage.go
@@ -90,6 +90,16 @@
 // At returns the i-th service.
 func (u *Usage) At(i int) ServiceUsage { return u.services[i] }
 
+// Has reports whether a service is in the list.
+func (u *Usage) Has(service ServiceName) bool {
+	for i := range u.length {
+		if u.services[i].service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Add adds the usage of a service: calls and work are summed, and of the thresholds and the
 // rejected part the higher one remains. It reports false if the list is full and does not
 // have the service.
