reducer: a request that may run once is repeated only after a refusal as not run

Cause: mayRetry asked mayRepeat before it looked at the outcome. A call without a retry allowance was sent to the same upstream again after an answer that grants a second try and leaves the outcome unknown.

Ruled out: the nodes of this version, which grant a second try only with a refusal as not run. The answer comes from another node, and the decoder accepts both together.

Change: the outcome is checked first.

Measured: TestRepeatAfterUnknown fails before and passes after. TestTrees does not change.

--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -23,12 +23,12 @@
 	if c.deadline <= p.r.now || p.r.drain.withdrawn {
 		return false
 	}
-	if c.allowance < 1 {
-		return p.mayRepeat(c, reason, feedback)
-	}
 	if outcome != jackdawbridge.NotRun && !c.envelope.Idempotent() {
 		return false
 	}
+	if c.allowance < 1 {
+		return p.mayRepeat(c, reason, feedback)
+	}
 	if reachedBackend(outcome, reason) && !p.retryGranted(c, reason, feedback) {
 		return false
 	}
