reducer: the load of a cold backend server is compared with the slots that it announces

Cause: the requests that a backend server has besides those of its node are believed up to the slots that the peers are told. While it is cold these are a few, so that a true load was cut, counted as out of range, and the one log line about a false load was spent on it.

Ruled out: false loads, which are still cut at the announced slots (testdata/placement).

Change: the slots of the last announcement are used.

--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -31,7 +31,7 @@
 
 // reported records the load that came with an answer of the backend server.
 func (p *runs) reported(load jackdawbridge.BackendLoad) {
-	slots := max(p.r.self.Slots(), 1)
+	slots := max(p.r.warmup.announces, 1)
 	if p.work.estimate.Report(p.r.now, load, p.running, slots) || p.work.warned {
 		return
 	}
