queue, reducer: fair queueing among accounts counts work, not calls

Cause: the virtual time of an account's flow advanced by 1 for each call, so an account whose calls take eight times as long got eight times the work of another. The choice of the call to shed counted calls as well.

Ruled out: the measured time of each call, which is known only after the run, when its flow may be idle.

Change: a queued call has a cost, the expected own time of its class at the node, where the backend server reports its load, and 1 otherwise. Flows advance by it, and a full queue sheds from the account whose waiting calls cost most. Calls of one class (criticality and depth) that differ in length still count alike.

The figures of testdata/trees/leaf and testdata/policy are unchanged; no load is reported there.

--- a/behaviour.go
+++ b/behaviour.go
@@ -183,6 +183,7 @@
 	precedence   Precedence
 	arrived      Millis // when the call was added to the queue
 	deadline     Millis // when the call must be answered
+	cost         Millis // expected work, at least 1
 }
 
 // NewQueuedCall returns a call that has waited since arrived and must be answered
@@ -191,10 +192,20 @@
 	return QueuedCall{
 		call: call, account: envelope.account, rank: Rank(envelope.criticality, envelope.paidPriority),
 		paidPriority: envelope.paidPriority, depth: envelope.depth, precedence: envelope.precedence,
-		arrived: arrived, deadline: deadline,
+		arrived: arrived, deadline: deadline, cost: 1,
 	}
 }
 
+// WithCost returns c with the work that it is expected to cause, at least 1. Calls of
+// unknown work all cost 1.
+func (c QueuedCall) WithCost(cost Millis) QueuedCall {
+	c.cost = max(cost, 1)
+	return c
+}
+
+// Cost returns the work that the call is expected to cause, at least 1.
+func (c QueuedCall) Cost() Millis { return c.cost }
+
 // Call returns the call.
 func (c QueuedCall) Call() CallID { return c.call }
 
--- a/estimate/backend.go
+++ b/estimate/backend.go
@@ -97,6 +97,9 @@
 	return false
 }
 
+// Reported reports whether the backend server has reported its load.
+func (b *Backend) Reported() bool { return b.usual != 0 }
+
 // Clamped returns the number of reports that were not believed as they were.
 func (b *Backend) Clamped() int64 { return b.clamped }
 
--- a/queue/priority.go
+++ b/queue/priority.go
@@ -52,8 +52,9 @@
 // flow holds the waiting calls of one account and rank.
 type flow struct {
 	key         flowKey
-	virtualTime int64 // calls served, raised to that of the rank when the flow becomes active
+	virtualTime int64 // cost of the calls served, raised to that of the rank when the flow becomes active
 	length      int   // calls in the flow
+	cost        int64 // sum over the calls in the flow
 	depths      [depths]list
 	mask        uint16 // bit set of the depths that have calls
 	shared      bool   // used by all accounts of the rank that have no flow of their own
@@ -67,8 +68,8 @@
 	mask        uint32       // bit set of the stages that have calls
 }
 
-// Priority orders calls by rank, then by fair queueing between their accounts, then by
-// depth, deeper first, then by arrival. It does not allocate once its maps and slices have
+// Priority orders calls by rank, then by fair queueing by cost between their accounts, then
+// by depth, deeper first, then by arrival. It does not allocate once its maps and slices have
 // grown.
 type Priority struct {
 	size      int
@@ -115,7 +116,7 @@
 
 // Push adds a call. When the queue is full, it sheds the least important call, which may be
 // c, and returns that call and true. The least important call is one of the lowest rank, of
-// the account with the most calls in that rank, of the smallest depth, and the newest of
+// the account whose waiting calls in that rank cost most, of the smallest depth, and the newest of
 // these.
 func (q *Priority) Push(at jackdawbridge.Millis, c jackdawbridge.QueuedCall) (jackdawbridge.QueuedCall, bool) {
 	q.standing.advance(at, q.length)
@@ -140,17 +141,17 @@
 	if c.Rank() < lowest {
 		return none
 	}
-	longest, length := none, 0
+	heaviest, cost := none, int64(0)
 	for _, f := range q.ranks[lowest].active {
-		n := q.flows[f].length
+		sum := q.flows[f].cost
 		if c.Rank() == lowest && q.flows[f].key.account == c.Account() {
-			n++
+			sum += int64(c.Cost())
 		}
-		if n > length {
-			longest, length = f, n
+		if sum > cost {
+			heaviest, cost = f, sum
 		}
 	}
-	f := &q.flows[longest]
+	f := &q.flows[heaviest]
 	shallowest := bits.TrailingZeros16(f.mask)
 	if c.Rank() == lowest && f.key.account == c.Account() && c.Depth() <= shallowest {
 		return none
@@ -209,6 +210,7 @@
 		q.mask |= 1 << c.Rank()
 	}
 	f.length++
+	f.cost += int64(c.Cost())
 	d, ages := &f.depths[c.Depth()], &rank.ages[stage(c)]
 	q.entries[i] = entry{call: c, flow: n, prev: d.tail, next: none, older: ages.tail, newer: none}
 	if d.tail == none {
@@ -241,6 +243,7 @@
 		f.mask &^= 1 << c.Depth()
 	}
 	f.length--
+	f.cost -= int64(c.Cost())
 	if f.length == 0 {
 		q.deactivate(e.flow, c.Rank())
 	}
@@ -319,9 +322,9 @@
 	}
 	f := &q.flows[best]
 	r.virtualTime = f.virtualTime
-	f.virtualTime++
 	i := f.depths[bits.Len16(f.mask)-1].head
 	c := q.entries[i].call
+	f.virtualTime += int64(c.Cost())
 	q.remove(i)
 	q.standing.admitted(c.Rank())
 	return c, true
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestScripts runs the files of testdata. Each line below "do" is one operation:
-// at MS (sets the time), push CALL ACCOUNT CRITICALITY [paid] [depth=N] [deadline=MS],
+// at MS (sets the time), push CALL ACCOUNT CRITICALITY [paid] [depth=N] [deadline=MS] [cost=MS],
 // pop, remove CALL, expire, level. The output has the result of each operation; a push
 // has one only if it shed a call.
 func TestScripts(t *testing.T) {
@@ -74,7 +74,7 @@
 	call, _ := strconv.Atoi(f[0])
 	c, _ := jackdawbridge.ParseCriticality(f[2])
 	envelope := jackdawbridge.NewEnvelope("", jackdawbridge.AccountName(f[1]), "s", c, 0)
-	deadline := now + 2000
+	deadline, cost := now+2000, 0
 	for _, option := range f[3:] {
 		name, value, _ := strings.Cut(option, "=")
 		n, _ := strconv.Atoi(value)
@@ -85,9 +85,11 @@
 			envelope = envelope.WithDepth(n)
 		case "deadline":
 			deadline = jackdawbridge.Millis(n)
+		case "cost":
+			cost = n
 		}
 	}
-	return jackdawbridge.NewQueuedCall(jackdawbridge.CallID(call), envelope, now, deadline)
+	return jackdawbridge.NewQueuedCall(jackdawbridge.CallID(call), envelope, now, deadline).WithCost(jackdawbridge.Millis(cost))
 }
 
 // TestPriorityKeepsOrder guards against a call that is lost, returned twice or overtaken
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -171,6 +171,8 @@
 	slots     int              // real slots, which may differ from those announced
 	slowdown  float64          // factor by which all work takes longer
 	naive     bool             // makes up to naiveAttempts attempts of its calls
+	open      bool             // names the request instead of the token in its calls
+	reports   bool             // reports its load
 	onStart   func(jackdawbridge.ServiceName, jackdawbridge.Level)
 	onRefused func(jackdawbridge.ServiceName, jackdawbridge.RequestID)
 	rejects   float64                       // part of the runs that are rejected
@@ -233,7 +235,12 @@
 		return
 	}
 	j.attempts++
-	request := jackdawbridge.NewRequest(j.request.ID(), j.hops[1].service, "POST", j.request.Path(), j.request.Budget()).WithToken(j.token)
+	request := jackdawbridge.NewRequest(j.request.ID(), j.hops[1].service, "POST", j.request.Path(), j.request.Budget())
+	if b.open {
+		request.WithMaybeInternal(j.request.ID())
+	} else {
+		request.WithToken(j.token)
+	}
 	b.n.h.nextCall++
 	id := b.n.h.nextCall
 	j.child = id
@@ -277,10 +284,19 @@
 	b.endJob(j)
 	b.n.runs[j.run].status = status
 	b.n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
-		return jackdawbridge.NewRunAnswered(at, j.run, status)
+		return jackdawbridge.NewRunAnswered(at, j.run, status).WithLoad(b.load())
 	})
 }
 
+// load returns the load that the backend server reports, zero if it reports none.
+func (b *fakeBackend) load() jackdawbridge.BackendLoad {
+	if !b.reports {
+		return jackdawbridge.BackendLoad{}
+	}
+	load, _ := jackdawbridge.NewBackendLoad(b.running, 0, b.slots, jackdawbridge.UsualPace)
+	return load
+}
+
 // abandon ends a run that the node has cancelled.
 func (b *fakeBackend) abandon(id jackdawbridge.CallID) {
 	if j, ok := b.jobs[id]; ok {
--- a/reducer/figures_test.go
+++ b/reducer/figures_test.go
@@ -96,7 +96,7 @@
 	for _, size := range s.topology.services {
 		var routes []*jackdawbridge.Route
 		for _, k := range s.topology.kinds {
-			route, err := jackdawbridge.NewRoute("/"+k.name, nil, k.criticality, k.idempotent, false)
+			route, err := jackdawbridge.NewRoute("/"+k.name, nil, k.criticality, k.idempotent, s.topology.open && k.hops[0].service != size.name)
 			if err != nil {
 				panic(err)
 			}
@@ -124,7 +124,7 @@
 	}
 	n.backend = &fakeBackend{
 		n: n, random: rand.New(rand.NewPCG(uint64(len(s.timeline)), uint64(s.now))), chains: chains, slots: size.slots, slowdown: 1,
-		naive: s.policy.naive, onStart: s.onStart, onRefused: s.recordRefusal, jobs: make(map[jackdawbridge.CallID]*job), children: make(map[jackdawbridge.CallID]*job),
+		naive: s.policy.naive, open: s.topology.open, reports: s.topology.reports, onStart: s.onStart, onRefused: s.recordRefusal, jobs: make(map[jackdawbridge.CallID]*job), children: make(map[jackdawbridge.CallID]*job),
 	}
 	if s.trigger.name == "wrong" && s.trigger.service == size.name {
 		n.backend.slots = max(int(float64(size.slots)*s.trigger.slots), 1)
--- a/reducer/placement.go
+++ b/reducer/placement.go
@@ -29,6 +29,15 @@
 	w.estimate.Observe(now, classOf(u.envelope), own)
 }
 
+// cost returns the work of a run by which it counts against the share of its account, 0
+// if the backend server does not report its load.
+func (w *backendWork) cost(u *run) jackdawbridge.Millis {
+	if !w.estimate.Reported() {
+		return 0
+	}
+	return u.expected
+}
+
 // reported records the load that came with an answer of the backend server.
 func (p *runs) reported(load jackdawbridge.BackendLoad) {
 	slots := max(p.r.self.Slots(), 1)
--- a/reducer/policy_test.go
+++ b/reducer/policy_test.go
@@ -134,6 +134,8 @@
 	dcs         int
 	clientDelay jackdawbridge.Millis // one-way delay between clients and nodes
 	deadline    jackdawbridge.Millis
+	open        bool // calls of backend servers go over open routes
+	reports     bool // backend servers report their load
 	services    []serviceSize
 	accounts    []accountSize
 	kinds       []*requestKind
@@ -158,6 +160,7 @@
 	top := &topology{
 		dcs: intArg(d, "dcs", 1), clientDelay: jackdawbridge.Millis(intArg(d, "client", 1)),
 		deadline: jackdawbridge.Millis(intArg(d, "deadline", 2000)),
+		open:     d.HasArg("open"), reports: d.HasArg("reports"),
 	}
 	integer := func(s string) int {
 		n, err := strconv.Atoi(s)
@@ -245,7 +248,8 @@
 		load = g.surge
 	}
 	rate := top.capacity * load * a.share * k.fraction
-	if g.name == "account" && a.name == g.account && during {
+	// A hot account keeps within its rate, see rate.
+	if (g.name == "account" || g.name == "hot") && a.name == g.account && during {
 		rate *= g.factor
 	}
 	// The idle account becomes active in the middle of the overload.
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -152,7 +152,7 @@
 		p.launch(u)
 		return
 	}
-	shed, full := p.queue.Push(p.r.now, jackdawbridge.NewQueuedCall(u.id, envelope, p.r.now, u.deadline))
+	shed, full := p.queue.Push(p.r.now, jackdawbridge.NewQueuedCall(u.id, envelope, p.r.now, u.deadline).WithCost(p.work.cost(u)))
 	if full {
 		p.refuse(p.active[shed.Call()], jackdawbridge.NotRunRefusal(jackdawbridge.Overloaded))
 	}
--- a/reducer/trees_test.go
+++ b/reducer/trees_test.go
@@ -14,19 +14,21 @@
 // all trees binds, and compares what callers get by kind, account and data centre with an
 // oracle that knows what each tree costs.
 func TestTrees(t *testing.T) {
-	var top *topology
-	datadriven.RunTest(t, "testdata/trees/leaf", func(t *testing.T, d *datadriven.TestData) string {
-		if d.Cmd == "topology" {
-			top = readTopology(t, d)
-			return fmt.Sprintf("capacity %.0f requests/s\n", top.capacity)
-		}
-		if raceEnabled {
-			return d.Expected // the policy cases cover the same code
-		}
-		s := newSimulation(top, readTrigger(d), policies[len(policies)-1])
-		firsts, repeats := s.countRuns()
-		s.simulate()
-		return s.treeReport() + fmt.Sprintf("first arrivals %d, repeats %d\n", *firsts, *repeats)
+	datadriven.Walk(t, "testdata/trees", func(t *testing.T, path string) {
+		var top *topology
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "topology" {
+				top = readTopology(t, d)
+				return fmt.Sprintf("capacity %.0f requests/s\n", top.capacity)
+			}
+			if raceEnabled {
+				return d.Expected // the policy cases cover the same code
+			}
+			s := newSimulation(top, readTrigger(d), policies[len(policies)-1])
+			firsts, repeats := s.countRuns()
+			s.simulate()
+			return s.treeReport(d.HasArg("accounts")) + fmt.Sprintf("first arrivals %d, repeats %d\n", *firsts, *repeats)
+		})
 	})
 }
 
@@ -39,8 +41,9 @@
 
 func (p share) percent(n int) float64 { return float64(100*n) / float64(max(p.offered, 1)) }
 
-// treeReport returns what callers got during the trigger.
-func (s *simulation) treeReport() string {
+// treeReport returns what callers got during the trigger, for each account if byAccount is
+// set.
+func (s *simulation) treeReport(byAccount bool) string {
 	kinds := make([]share, len(s.topology.kinds))
 	accounts := make([]share, len(s.topology.accounts))
 	centres := make([]share, s.topology.dcs)
@@ -61,6 +64,11 @@
 	for i, k := range s.topology.kinds {
 		fmt.Fprintf(&b, "%-10s %s\n", k.name, kinds[i])
 	}
+	for i, a := range s.topology.accounts {
+		if byAccount {
+			fmt.Fprintf(&b, "%-10s %s\n", a.name, accounts[i])
+		}
+	}
 	least := func(list []share) float64 {
 		least := 100.0
 		for _, p := range list {
