Revert "reducer, wire: child calls on open routes use the share of their tree's account"

Cause: at moderate overload fewer whole requests are served with it. Fair shares have to be decided at the entry node first, which is not begun.

The queue keeps the share by work.

--- a/behaviour.go
+++ b/behaviour.go
@@ -176,7 +176,7 @@
 // QueuedCall is a call that waits in a Queue.
 type QueuedCall struct {
 	call         CallID
-	account      AccountName // whose share the call uses
+	account      AccountName
 	rank         Level
 	paidPriority bool
 	depth        int // below the caller's request
@@ -190,7 +190,7 @@
 // by the deadline.
 func NewQueuedCall(call CallID, envelope Envelope, arrived, deadline Millis) QueuedCall {
 	return QueuedCall{
-		call: call, account: envelope.Payer(), rank: Rank(envelope.criticality, envelope.paidPriority),
+		call: call, account: envelope.account, rank: Rank(envelope.criticality, envelope.paidPriority),
 		paidPriority: envelope.paidPriority, depth: envelope.depth, precedence: envelope.precedence,
 		arrived: arrived, deadline: deadline, cost: 1,
 	}
@@ -209,7 +209,7 @@
 // Call returns the call.
 func (c QueuedCall) Call() CallID { return c.call }
 
-// Account returns the client account whose share the call uses, or "".
+// Account returns the client account of the call.
 func (c QueuedCall) Account() AccountName { return c.account }
 
 // Rank returns the rank of the call; a higher rank is more important.
--- a/check.go
+++ b/check.go
@@ -97,7 +97,6 @@
 	var c validator
 	c.name(string(e.id), "request id")
 	c.optionalName(string(e.account), "account")
-	c.optionalName(string(e.payer), "payer")
 	c.name(string(e.service), "service")
 	c.require(e.criticality <= Critical, "criticality %d is unknown", e.criticality)
 	c.requireRange(int64(e.budget), 1, int64(maxDuration), "budget")
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -138,9 +138,9 @@
 
 // linkToRun links a call on an open route to the run whose request ID it names. The
 // local backend server is assumed to make the call for that run, so the call
-// inherits the rank, the payer and the deadline of the run and ends with it. A
-// client that imitates such a call gains the rank of a request whose ID it has learned and
-// uses the share of that request's account, and nothing else.
+// inherits the rank and the deadline of the run and ends with it. A client
+// that imitates such a call gains the rank of a request whose ID it has learned, and
+// nothing else.
 func (p *calls) linkToRun(c *call, parent *run) {
 	c.child = true
 	c.parent = parent.id
@@ -150,7 +150,6 @@
 	c.envelope = c.envelope.
 		WithCriticality(parent.envelope.Criticality()).
 		WithPaidPriority(parent.envelope.PaidPriority()).
-		WithPayer(parent.envelope.Payer()).
 		WithPrecedence(p.r.runs.childPrecedence(parent)).
 		WithRepeated(parent.envelope.Repeated()).
 		WithDepth(min(parent.envelope.Depth()+1, jackdawbridge.MaxDepth))
--- a/request.go
+++ b/request.go
@@ -111,8 +111,7 @@
 	sent           Millis // by the sender's clock
 	objective      Millis // time left of the latency objective, 0 if unknown or passed
 	precedence     Precedence
-	repeated       bool        // another send of this request, or of the one for which it is made, reached a backend server
-	payer          AccountName // account whose share of a service the call uses; empty if it is account
+	repeated       bool // another send of this request, or of the one for which it is made, reached a backend server
 }
 
 // NewEnvelope returns the envelope of a caller's request.
@@ -199,24 +198,6 @@
 	return e
 }
 
-// WithPayer returns e for a call that uses the given account's share of a service. It
-// grants the call no other right of that account and does not name it to backend servers.
-func (e Envelope) WithPayer(payer AccountName) Envelope {
-	if payer == e.account {
-		payer = ""
-	}
-	e.payer = payer
-	return e
-}
-
-// Payer returns the client account whose share of a service the call uses, or "".
-func (e Envelope) Payer() AccountName {
-	if e.payer == "" {
-		return e.account
-	}
-	return e.payer
-}
-
 // Precedence returns the order of the request among those that compete for the same service.
 func (e Envelope) Precedence() Precedence { return e.precedence }
 
--- a/wire/request_head.go
+++ b/wire/request_head.go
@@ -124,18 +124,9 @@
 		Fingerprint: uint64(e.Fingerprint()), Alone: e.Exclusive(),
 		Objective: int64(e.Objective()), Sender: fromSender(e.Sender()), Sent: int64(e.Sent()),
 		Turn: uint32(e.Precedence()), Again: e.Repeated(),
-		Payer: fromPayer(e),
 	}
 }
 
-// fromPayer returns "" for a call that its own account pays for.
-func fromPayer(e jackdawbridge.Envelope) string {
-	if e.Payer() == e.Account() {
-		return ""
-	}
-	return string(e.Payer())
-}
-
 func (d *decoder) envelope(p *pb.Envelope) jackdawbridge.Envelope {
 	return jackdawbridge.NewEnvelope(
 		jackdawbridge.RequestID(p.GetId()), jackdawbridge.AccountName(p.GetAccount()), jackdawbridge.ServiceName(p.GetService()),
@@ -143,8 +134,7 @@
 	).WithPaidPriority(p.GetBought()).WithIdempotent(p.GetIdempotent()).WithRetryAllowance(int(p.GetAllowance())).
 		WithDepth(int(p.GetDepth())).WithFingerprint(jackdawbridge.Fingerprint(p.GetFingerprint()), p.GetAlone()).
 		WithObjective(jackdawbridge.Millis(p.GetObjective())).WithSent(d.sender(p.GetSender()), jackdawbridge.Millis(p.GetSent())).
-		WithPrecedence(precedence(p.GetTurn())).WithRepeated(p.GetAgain()).
-		WithPayer(jackdawbridge.AccountName(p.GetPayer()))
+		WithPrecedence(precedence(p.GetTurn())).WithRepeated(p.GetAgain())
 }
 
 // fromBacklog returns nil for an unknown backlog, which is not encoded.
