client: a connection stays usable after an answer to HEAD without a length

Cause: an answer that names no length and has no body, as one to HEAD, counted as one that ends with its connection. At its end the write deadline of the connection was set to the present, and the connection was kept: the next request on it failed.

Ruled out: to clear the deadline when the connection is kept. A write in progress has been ended by then.

Change: only an answer with a body ends with its connection.

The whole package was not run.

--- a/client/client.go
+++ b/client/client.go
@@ -397,7 +397,7 @@
 		case Matched:
 			response.Body = &answerBody{
 				ReadCloser: response.Body, x: x, closeAfter: response.Close, idleLimit: keepAliveTime(response.Header),
-				toEnd: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+				toEnd: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 			}
 			return response, nil
 		case Unrelated:
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -171,6 +171,8 @@
 			_, _ = io.WriteString(conn, answer("", "x"))
 		case "/noise":
 			_, _ = io.WriteString(conn, "no answer at all\r\n\r\n")
+		case "/no-length": // the answer to a HEAD request
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\n")
 		case "/extra":
 			_, _ = io.WriteString(conn, expected+answer(id, "again"))
 		case "/interim":
