node: an evicted connection charges the read budget no more

Cause: a connection was marked as evicted after the lock of the read budget was released. If it charged in between, the budget had a holder without a connection, and its next eviction dereferenced nil.

Ruled out: an eviction of forwarded requests, which never wait.

Change: it is marked under the lock.

Result: TestEvictedHoldsNothing fails before and passes now, with TestCallerLeft. The process tests of crowds were not run.

--- a/node/reading.go
+++ b/node/reading.go
@@ -118,6 +118,7 @@
 func (r *readBudget) takeConns(evicted []budget.Holder) []*boundedConn {
 	conns := make([]*boundedConn, 0, len(evicted))
 	for _, h := range evicted {
+		r.conns[h].evicted.Store(true) // before it can charge again
 		conns = append(conns, r.conns[h])
 		delete(r.conns, h)
 	}
@@ -222,9 +223,8 @@
 	}
 }
 
-// evict ends the read in progress and all later ones.
+// evict ends the read in progress of a connection that is marked as evicted.
 func (c *boundedConn) evict() {
-	c.evicted.Store(true)
 	_ = c.SetReadDeadline(time.Now()) // fails only if the connection is closed, which ends the read too
 }
 
