node: a head has ended before the server reads ahead, and an evicted one gets a refusal

Cause (review, by reading): net/http begins to read ahead before the handler runs, so that a byte of a pipelined request was counted as one of a head by another goroutine; and a request that was evicted between the last byte of its head and its handler went on with an expired read deadline.

Ruled out: a lock on the counts, which every read would take.

Change: the state hook marks the end of the head, and the handler looks whether the request was evicted.

Measured: no test shows the race; go test -race ./node -run 'Script|Left' and TestProcesses/crowd*, fields and pipeline pass.

--- a/node/listen.go
+++ b/node/listen.go
@@ -152,8 +152,13 @@
 // setState records the new state of a connection. It is the ConnState hook of
 // the server.
 func (c *connTracker) setState(conn net.Conn, state http.ConnState) {
-	if bounded, ok := conn.(*boundedConn); ok && state == http.StateIdle {
-		bounded.beginHead()
+	if bounded, ok := conn.(*boundedConn); ok {
+		switch state {
+		case http.StateIdle:
+			bounded.beginHead()
+		case http.StateActive: // before the server reads ahead of the handler
+			bounded.pastHead.Store(true)
+		}
 	}
 	c.mu.Lock()
 	if state == http.StateNew || state == http.StateIdle {
--- a/node/reading.go
+++ b/node/reading.go
@@ -270,14 +270,14 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		c.pastHead.Store(true)
 		if c.charged > 0 {
 			c.awaitClient(false)
 		}
 		c.bodyRead.Store(false)
 		defer c.endRequest(r)
 		// Fields of a pipelined request may have been read with the request before it.
-		if fields := fieldBytes * int64(len(r.Header)); fields > c.bytes && !c.hold(fields-c.bytes) {
+		fields := fieldBytes * int64(len(r.Header))
+		if c.isEvicted() || fields > c.bytes && !c.hold(fields-c.bytes) {
 			n.refuseUnread(w, r, jackdawbridge.Overloaded)
 			return
 		}
