cmd/jackdawbridge: failing tests of crowds at the listener for large messages

Cause: the listener takes 128 connections from anyone. A peer that is not verified can make each of them hold a message of 2 MB, and connections that only say they speak HTTP/2 keep all places for a minute.

Change: two scripts, crowd-messages and crowd-silent, with the bounds of the other crowds. crowd-messages keeps the flow control of HTTP/2, so the listener gets as much as it asks for.

--- a/cmd/jackdawbridge/crowd_test.go
+++ b/cmd/jackdawbridge/crowd_test.go
@@ -64,7 +64,11 @@
 // repeated matches a part of a crowd's input that stands for many copies of a text.
 var repeated = regexp.MustCompile(`\{([^{}]+?)\*(\d+)\}`)
 
+// escaped matches a byte that is written as \xHH.
+var escaped = regexp.MustCompile(`\\x[0-9a-f]{2}`)
+
 // expand returns the bytes that an input stands for. Lines end with CRLF, \n is a line end,
+// \xHH is the byte with that hexadecimal number,
 // and {TEXT*N} is N copies of TEXT, in each of which # is the number of the copy.
 func expand(input string) string {
 	input = strings.ReplaceAll(input, "\n", `\n`)
@@ -77,6 +81,10 @@
 		}
 		return b.String()
 	})
+	input = escaped.ReplaceAllStringFunc(input, func(match string) string {
+		number, _ := strconv.ParseUint(match[2:], 16, 8)
+		return string([]byte{byte(number)})
+	})
 	return strings.ReplaceAll(input, `\n`, "\r\n")
 }
 
--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -73,6 +73,9 @@
 	callers, peers, gossip, rpc, backend, admin string
 }
 
+// fleetSecret is the secret of all nodes.
+const fleetSecret = "0123456789abcdef0123456789abcdef"
+
 // usedAddresses is the number of addresses that freeAddress has returned, at most
 // 254.
 var usedAddresses int
@@ -204,7 +207,7 @@
 	args := []string{
 		"node", "--platform", f.platform, "--instance", name, "--data-centre", dc, "--callers", m.callers,
 		"--peers", m.peers, "--gossip", m.gossip, "--rpc", m.rpc, "--backend", m.backend, "--admin", m.admin,
-		"--secret", "0123456789abcdef0123456789abcdef", "--linger", "1s",
+		"--secret", fleetSecret, "--linger", "1s",
 	}
 	for _, other := range f.nodes {
 		args = append(args, "--join", other.gossip)
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -118,6 +118,10 @@
 		return strings.Join(slices.Sorted(maps.Keys(f.load.results)), "\n"), nil
 	case "crowd":
 		return "", f.crowd(d)
+	case "crowd-messages":
+		return "", f.crowdMessages(d)
+	case "peer-message":
+		return f.peerMessage(d)
 	case "bounded":
 		megabytes, _ := strconv.Atoi(arg(d, "megabytes"))
 		descriptors, _ := strconv.Atoi(arg(d, "descriptors"))
