rpc: unverified connections share a bound on messages and places

Cause: 128 connections were taken from anyone, each could hold a message of 2 MB, and nothing closed one that was silent for a minute.

Ruled out: a smaller bound for each connection, as a stored value of 1 MB has to fit; refusing all but peers, as operators ask for revisions without a secret.

Change: the listener of package rpc counts the bytes of unfinished messages on unverified connections in a budget of 4 MB and closes the one whose message was begun first. It keeps 64 unverified connections and closes the oldest for a new one. A connection is verified by the first valid frame of a peer, and is then neither charged nor closed for others; 128 can be verified. The windows of HTTP/2 stay at 64 KB and the buffers at 4 KB.

Not measured: the time that large tables take over long distances with windows that do not grow.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
@@ -29,12 +28,18 @@
 const (
 	maxPacket   = MaxFrame + 64 // bytes, with the protobuf encoding around the frame
 	maxPeers    = 64            // connections to peers
-	maxAccepted = 128           // connections from peers
+	maxVerified = 128           // connections on which a peer's frame has arrived
 	maxHeader   = 8 << 10       // bytes
 	queueLength = 16            // frames queued for one peer
 	maxQueued   = 8 << 20       // bytes queued for all peers; a quarter of the memory for a node's control state
-	callTimeout = 5 * time.Second
-	idleTimeout = 30 * time.Second
+	// maxUnverified is the number of connections on which no peer's frame has arrived yet.
+	maxUnverified = 64
+	// maxUnverifiedBytes is the size of unfinished messages on these connections, in bytes.
+	maxUnverifiedBytes = 2 * maxPacket
+	bufferSize         = 4 << 10  // bytes read or written at once on a connection from a peer
+	windowSize         = 64 << 10 // bytes that a peer may send ahead
+	callTimeout        = 5 * time.Second
+	idleTimeout        = 30 * time.Second
 )
 
 // Transport sends frames over one connection to each peer and receives frames on one
@@ -75,17 +80,18 @@
 		lost:  metrics.GetOrRegisterCounter("rpc.lost", registry),
 		addr:  listener.Addr().(*net.TCPAddr).AddrPort(),
 		peers: make(map[netip.AddrPort]*peer),
-		// With one call at a time on each connection, frames whose seal has not been
-		// verified yet take a bounded amount of memory.
 		server: grpc.NewServer(grpc.MaxRecvMsgSize(maxPacket), grpc.MaxConcurrentStreams(1),
 			grpc.MaxHeaderListSize(maxHeader), grpc.ConnectionTimeout(callTimeout), grpc.WaitForHandlers(true),
+			grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
+			grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize),
 			grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * idleTimeout})),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	receiver := transport.NewReceiver("rpc", codec, sealer, registry, log, handle)
 	pb.RegisterPeerServer(t.server, &service{receiver: receiver, status: status})
+	bounded := newListener(listener, metrics.GetOrRegisterCounter("rpc.refused.connection", registry))
 	t.wg.Go(func() {
-		if err := t.server.Serve(netutil.LimitListener(listener, maxAccepted)); err != nil {
+		if err := t.server.Serve(bounded); err != nil {
 			log.Error("rpc: listener stopped: cannot accept connections", "err", err)
 		}
 	})
@@ -162,17 +168,20 @@
 
 // Deliver receives one frame. The answer does not say whether the frame was accepted,
 // because that would help an attacker to forge frames.
-func (s *service) Deliver(_ context.Context, packet *pb.Packet) (*pb.Empty, error) {
+func (s *service) Deliver(ctx context.Context, packet *pb.Packet) (*pb.Empty, error) {
+	valid := false
 	if len(packet.Frame) > MaxFrame {
 		s.receiver.Reject("oversize", transport.ErrTooLarge)
 	} else {
-		s.receiver.Receive(packet.Frame)
+		valid = s.receiver.Receive(packet.Frame)
 	}
+	finishMessage(ctx, valid)
 	return &pb.Empty{}, nil
 }
 
 // Ask returns the revisions of the settings in force.
-func (s *service) Ask(context.Context, *pb.Empty) (*pb.Revisions, error) {
+func (s *service) Ask(ctx context.Context, _ *pb.Empty) (*pb.Revisions, error) {
+	finishMessage(ctx, false)
 	status := s.status()
 	self, digest := status.Self(), status.Digest()
 	return &pb.Revisions{
--- a/transport/receiver.go
+++ b/transport/receiver.go
@@ -41,20 +41,21 @@
 }
 
 // Receive verifies and decodes a sealed frame and passes it to the handler. It rejects
-// a frame that is not valid. It does not retain sealed.
-func (r *Receiver) Receive(sealed []byte) {
+// a frame that is not valid, and reports whether it was valid. It does not retain sealed.
+func (r *Receiver) Receive(sealed []byte) bool {
 	data, err := r.sealer.Open(sealed)
 	if err != nil {
 		r.Reject(wire.RejectionReason(err), err)
-		return
+		return false
 	}
 	frame, err := r.codec.DecodeFrame(data)
 	if err != nil {
 		r.Reject(wire.RejectionReason(err), err)
-		return
+		return false
 	}
 	r.received.Inc(1)
 	r.handle(frame)
+	return true
 }
 
 // Reject counts and logs rejected input. Each distinct reason has its own counter, so
