audit: findings about a configuration before it is stored

Cause: check said only whether a file can be read. A route behind another, an account that no route can use, limits that contradict each other and what apply would change were seen after the fact.

Ruled out: a route with a longer prefix as cover of a shorter one, since the path that equals the shorter prefix always matches it; a finding about rates below one request per second in a data centre, since rates are divided in thousandths and only the burst in whole tokens.

The harness of the process tests runs only jackdawbridge as a command, so the name is no longer an argument of run.

--- a/cmd/jackdawbridge/change.go
+++ b/cmd/jackdawbridge/change.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"reflect"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/audit"
 )
 
 const (
@@ -169,18 +169,8 @@
 func replaceWith(entries []jackdawbridge.Entry) edit {
 	return func(table *jackdawbridge.Table) ([]jackdawbridge.Entry, error) {
 		var changed []jackdawbridge.Entry
-		wanted := make(map[string]bool, len(entries))
-		for _, e := range entries {
-			wanted[e.Name()] = true
-			old, ok := table.Entry(e.Name())
-			if !ok || !reflect.DeepEqual(old.WithRevision(0), e.WithRevision(0)) {
-				changed = append(changed, e)
-			}
-		}
-		for _, old := range table.Entries() {
-			if !wanted[old.Name()] && !old.Removed() {
-				changed = append(changed, jackdawbridge.Tombstone(old.Name()))
-			}
+		for _, d := range audit.Compare(table, entries) {
+			changed = append(changed, d.After())
 		}
 		return changed, nil
 	}
--- a/cmd/jackdawbridge/configure.go
+++ b/cmd/jackdawbridge/configure.go
@@ -17,22 +17,6 @@
 	Platform string `required:"" help:"Address of the platform's key-value service, IP:PORT."`
 }
 
-// checkCommand validates a questionnaire without changing anything.
-type checkCommand struct {
-	File string `arg:"" help:"Questionnaire file, or - for standard input."`
-}
-
-// Run prints a summary of the questionnaire, or returns its faults.
-func (c *checkCommand) Run() error {
-	q, err := readQuestionnaire(c.File)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%s: accepted: %d data centres, %d services, %d client accounts\n",
-		q.Deployment(), len(q.DataCentres()), len(q.Services()), len(q.Accounts()))
-	return nil
-}
-
 // compileCommand prints the configuration entries that a questionnaire yields.
 type compileCommand struct {
 	File string `arg:"" help:"Questionnaire file, or - for standard input."`
--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -172,11 +172,11 @@
 	return fmt.Sprintf("error: %v", p.err), nil
 }
 
-// run runs a program until it exits and returns its combined output.
-func (f *fleet) run(input, program string, args ...string) (string, error) {
+// run runs an operators' command until it exits and returns its combined output.
+func (f *fleet) run(input string, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	command := exec.CommandContext(ctx, filepath.Join(f.bin, program), args...)
+	command := exec.CommandContext(ctx, filepath.Join(f.bin, "jackdawbridge"), args...)
 	command.Stdin = strings.NewReader(input)
 	out, err := command.CombinedOutput()
 	return string(out), err
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -58,6 +58,8 @@
 		return "", f.startBackend(d)
 	case "apply":
 		return f.apply(d)
+	case "check":
+		return f.check(d)
 	case "give":
 		return "", f.give(arg(d, "account"), arg(d, "as"))
 	case "withdraw":
@@ -162,15 +164,26 @@
 	file := filepath.Join("..", "..", "examples", arg(d, "file"))
 	args := append([]string{"apply", "--platform", f.platform, file}, f.queryArgs()...)
 	out, err := f.poll("apply", func() (string, bool) {
-		out, err := f.run("", "jackdawbridge", args...)
+		out, err := f.run("", args...)
 		return out, err == nil
 	})
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	return strings.Join(lines[1:], "\n"), err // the first line contains a random id
 }
 
+// check checks the questionnaire that the script holds, with the stored configuration if the
+// argument stored is given.
+func (f *fleet) check(d *datadriven.TestData) (string, error) {
+	args := []string{"check", "-"}
+	if d.HasArg("stored") {
+		args = append(args, "--platform", f.platform)
+	}
+	out, err := f.run(d.Input, args...)
+	return fmt.Sprintf("%sexit: %v", out, err), nil
+}
+
 func (f *fleet) give(account, as string) error {
-	out, err := f.run("", "jackdawbridge", append([]string{"keys", "give", "--platform", f.platform, "--account", account}, f.queryArgs()...)...)
+	out, err := f.run("", append([]string{"keys", "give", "--platform", f.platform, "--account", account}, f.queryArgs()...)...)
 	if err != nil {
 		return errors.Errorf("keys give: %s: %w", out, err)
 	}
@@ -180,7 +193,7 @@
 }
 
 func (f *fleet) withdraw(as string) (string, error) {
-	out, err := f.run(f.keys[as]+"\n", "jackdawbridge", append([]string{"keys", "withdraw", "--platform", f.platform, "--key"}, f.queryArgs()...)...)
+	out, err := f.run(f.keys[as]+"\n", append([]string{"keys", "withdraw", "--platform", f.platform, "--key"}, f.queryArgs()...)...)
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	return strings.Join(lines[1:], "\n"), err
 }
--- a/reducer/plan.go
+++ b/reducer/plan.go
@@ -104,6 +104,19 @@
 	return division
 }
 
+// WithoutShare returns the data centres that receive no token of an account's burst, in the
+// order of its shares. Nodes there borrow each token.
+func WithoutShare(a *jackdawbridge.Account) []jackdawbridge.DataCentre {
+	division := divide(a)
+	var without []jackdawbridge.DataCentre
+	for _, s := range a.Shares() {
+		if !slices.ContainsFunc(division, func(x dataCentreShare) bool { return x.dc == s.DataCentre() }) {
+			without = append(without, s.DataCentre())
+		}
+	}
+	return without
+}
+
 // plan is the division of an account among data centres. While other nodes may
 // still use an older division, the plan holds back the growth of quotas in the local
 // data centre, so that the quotas in use never add up to more than the account's rate.
