rpc: test that a crowd does not close a peer's connection

Cause: the process tests show that a peer's message arrives after a crowd, not that the peer keeps its connection.

Change: TestVerifiedStays counts the connections that are accepted and kept.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -45,17 +45,18 @@
 // Transport sends frames over one connection to each peer and receives frames on one
 // listener.
 type Transport struct {
-	codec  jackdawbridge.Codec
-	sealer *wire.Sealer
-	sent   metrics.Counter
-	lost   metrics.Counter // frames whose delivery failed
-	log    *slog.Logger
-	idle   time.Duration // after which an unused connection is closed
-	server *grpc.Server
-	addr   netip.AddrPort
-	ctx    context.Context // cancelled when the transport is closed
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	codec    jackdawbridge.Codec
+	sealer   *wire.Sealer
+	sent     metrics.Counter
+	lost     metrics.Counter // frames whose delivery failed
+	log      *slog.Logger
+	idle     time.Duration // after which an unused connection is closed
+	server   *grpc.Server
+	accepted *listener
+	addr     netip.AddrPort
+	ctx      context.Context // cancelled when the transport is closed
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 
 	mu     sync.Mutex
 	closed bool
@@ -89,9 +90,9 @@
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	receiver := transport.NewReceiver("rpc", codec, sealer, registry, log, handle)
 	pb.RegisterPeerServer(t.server, &service{receiver: receiver, status: status})
-	bounded := newListener(listener, metrics.GetOrRegisterCounter("rpc.refused.connection", registry))
+	t.accepted = newListener(listener, metrics.GetOrRegisterCounter("rpc.refused.connection", registry))
 	t.wg.Go(func() {
-		if err := t.server.Serve(bounded); err != nil {
+		if err := t.server.Serve(t.accepted); err != nil {
 			log.Error("rpc: listener stopped: cannot accept connections", "err", err)
 		}
 	})
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
 
@@ -98,3 +99,39 @@
 		t.Errorf("%d connections and %d queued bytes after Close: want no connections and no negative number of bytes", r.connections(), r.queued)
 	}
 }
+
+// TestVerifiedStays guards against a crowd of unverified connections that closes the
+// connection of a peer, and against one of which more than the limit stay open.
+func TestVerifiedStays(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := newTransport(t)
+	defer r.Close() //nolint:errcheck // always nil
+	self := peerAt(r.Address())
+	frame := jackdawbridge.NewFrame(self, jackdawbridge.Digest{}, jackdawbridge.NewRevisionNotice())
+	if err := r.Send(self, frame); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "frame sent", func() bool { return r.sent.Count() == 1 })
+	for range 2 * maxUnverified {
+		conn, err := net.Dial("tcp", r.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close() //nolint:errcheck // nothing is read
+		// A connection without settings would be closed by the server's own timeout. If it
+		// is closed for another one already, the write may fail.
+		_, _ = conn.Write([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"))
+	}
+	eventually(t, "crowd beyond the limit closed", func() bool { return r.accepted.refused.Count() == maxUnverified })
+	if err := r.Send(self, frame); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "second frame sent", func() bool { return r.sent.Count() == 2 })
+	r.accepted.mu.Lock()
+	defer r.accepted.mu.Unlock()
+	got := map[string]int{"unverified": r.accepted.unverified.Len(), "accepted": int(r.accepted.accepted)}
+	want := map[string]int{"unverified": maxUnverified, "accepted": 2*maxUnverified + 1} // one is the peer's
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
