rpc: frames of HTTP/2 count towards the bound on unverified messages

Cause: a message in frames of one byte takes about ten times its bytes, which alone were charged.

Ruled out: a longer time for the collector; the bound of 64 MB stays.

Change: a connection charges 128 bytes for each frame that begins. frameCounter follows the headers of the frames in what is read. The script crowd-pieces sends 60,000 frames of one byte on each of 300 connections.

--- a/rpc/listener.go
+++ b/rpc/listener.go
@@ -87,7 +87,7 @@
 	l.budget.Wait(c.id)
 }
 
-// charge counts bytes that were read from a connection. If the unfinished messages of
+// charge counts the memory, in bytes, of what was read from a connection. If the unfinished messages of
 // unverified connections exceed the limit, it closes those whose messages were begun first.
 func (l *listener) charge(c *acceptedConn, bytes int) {
 	l.mu.Lock()
@@ -121,14 +121,15 @@
 	net.Conn
 	listener *listener
 	id       budget.Holder // position in the order in which the listener accepted connections
+	frames   frameCounter  // used by the reader only
 }
 
-// Read reads from the connection and charges the bytes to it.
+// Read reads from the connection and charges the bytes and frames to it.
 func (c *acceptedConn) Read(p []byte) (int, error) {
 	c.listener.await(c)
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.listener.charge(c, n)
+		c.listener.charge(c, n+frameCost*c.frames.count(p[:n]))
 	}
 	return n, err
 }
