--- a/cmd/jackdawbridge/process_test.go
+++ b/cmd/jackdawbridge/process_test.go
@@ -73,6 +73,9 @@
 	callers, peers, gossip, rpc, backend, admin string
 }
 
+// fleetSecret is the secret of all nodes.
+const fleetSecret = "0123456789abcdef0123456789abcdef"
+
 // usedAddresses is the number of addresses that freeAddress has returned, at most
 // 254.
 var usedAddresses int
@@ -169,11 +172,11 @@
 	return fmt.Sprintf("error: %v", p.err), nil
 }
 
-// run runs a program until it exits and returns its combined output.
-func (f *fleet) run(input, program string, args ...string) (string, error) {
+// run runs an operators' command until it exits and returns its combined output.
+func (f *fleet) run(input string, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
 	defer cancel()
-	command := exec.CommandContext(ctx, filepath.Join(f.bin, program), args...)
+	command := exec.CommandContext(ctx, filepath.Join(f.bin, "jackdawbridge"), args...)
 	command.Stdin = strings.NewReader(input)
 	out, err := command.CombinedOutput()
 	return string(out), err
@@ -204,7 +207,7 @@
 	args := []string{
 		"node", "--platform", f.platform, "--instance", name, "--data-centre", dc, "--callers", m.callers,
 		"--peers", m.peers, "--gossip", m.gossip, "--rpc", m.rpc, "--backend", m.backend, "--admin", m.admin,
-		"--secret", "0123456789abcdef0123456789abcdef", "--linger", "1s",
+		"--secret", fleetSecret, "--linger", "1s",
 	}
 	for _, other := range f.nodes {
 		args = append(args, "--join", other.gossip)
