--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -57,6 +57,12 @@
 		if u.ended || !n.alive {
 			return
 		}
+		if n.resets {
+			n.apply(func(at jackdawbridge.Millis) jackdawbridge.Event {
+				return jackdawbridge.NewRunFinished(at, id, jackdawbridge.Unknown, 0)
+			})
+			return
+		}
 		if strings.Contains(request.Path(), "poison") {
 			n.crash()
 			return
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -96,6 +96,7 @@
 	nextTick      jackdawbridge.Millis                                // virtual time of the scheduled tick, 0 if none is
 	load          jackdawbridge.BackendLoad                           // reported by the backend server, zero for none
 	serviceTime   jackdawbridge.Millis                                // how long a run takes
+	resets        bool                                                // the backend server resets the connection of each run
 	cold          jackdawbridge.Millis                                // how long the backend server is cold after it comes back from a crash
 	requests      map[jackdawbridge.CallID]*jackdawbridge.Request
 	runs          map[jackdawbridge.CallID]*fakeRun
--- a/reducer/run.go
+++ b/reducer/run.go
@@ -66,6 +66,7 @@
 	triesDenied   int
 	callCounts    [jackdawbridge.MaxClass + 1]admission.Average // calls made by a run of each class that was served
 	work          backendWork
+	breaker       breaker
 }
 
 func newRuns(r *Reducer, limiter jackdawbridge.Limiter, queue jackdawbridge.Queue) runs {
@@ -113,6 +114,7 @@
 	p.r.announce(p.r.self.WithState(jackdawbridge.PeerStarting))
 	// The next backend server starts cold.
 	p.limiter.Resize(1)
+	p.breaker = breaker{}
 	p.refuseWaiting(jackdawbridge.BackendDown)
 }
 
@@ -178,6 +180,8 @@
 		return jackdawbridge.Quarantined
 	case !p.r.warmup.allows():
 		return jackdawbridge.Warming
+	case !p.breaker.allows(p.r.now, envelope.Idempotent()):
+		return jackdawbridge.BackendDown
 	}
 	return jackdawbridge.NoReason
 }
@@ -189,6 +193,7 @@
 	if !ok || u.state != runRunning {
 		return
 	}
+	p.breaker.answered()
 	u.state = runAnswered
 	u.status = e.Status()
 	p.reported(e.Load())
@@ -204,6 +209,7 @@
 	if !ok || u.state != runRunning {
 		return
 	}
+	p.breaker.answered()
 	p.reported(e.Load())
 	granted := p.grantRetry(u, e.Reason())
 	p.r.fx.Refuse(u.id, jackdawbridge.NotRunRefusal(e.Reason()), p.feedback(u, p.level(u), u.allowance).WithRetryGranted(granted))
@@ -241,6 +247,10 @@
 	refusal := jackdawbridge.UnknownRefusal(jackdawbridge.UpstreamFailed)
 	if outcome == jackdawbridge.NotRun {
 		refusal = jackdawbridge.NotRunRefusal(jackdawbridge.BackendDown)
+	} else if p.breaker.failed(p.r.now) {
+		p.r.fx.Warn(jackdawbridge.PartAdmit, "backend server breaks off its connections: it gets trials only").Str("service", string(p.r.self.Service())).
+			Int("failures", int64(p.breaker.failures)).Int("running", int64(p.running)).Int("waiting", int64(p.queue.Len()))
+		p.refuseWaiting(jackdawbridge.BackendDown)
 	}
 	p.r.fx.Refuse(u.id, refusal, p.feedback(u, p.level(u), u.allowance))
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -174,6 +174,8 @@
 		return strconv.FormatBool(ok), nil
 	case "service-time":
 		h.nodes[arg(d, "node", "")].serviceTime = jackdawbridge.Millis(intArg(d, "ms", 5))
+	case "resets":
+		h.nodes[arg(d, "node", "")].resets = arg(d, "state", "on") == "on"
 	case "load":
 		h.nodes[arg(d, "node", "")].load, _ = jackdawbridge.NewBackendLoad(intArg(d, "running", 1), intArg(d, "waiting", 0), intArg(d, "slots", 1), intArg(d, "pace", jackdawbridge.UsualPace))
 	case "call":
