--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -68,7 +68,7 @@
 // a line for each precedence of the rejected calls: the rank, the calls left and how many.
 func (s *script) reject(t *testing.T, d *datadriven.TestData) string {
 	lines := strings.Split(strings.TrimSpace(d.Input), "\n")
-	granted, asked := make([]int, len(lines)), make([]int, len(lines))
+	granted, requested := make([]int, len(lines)), make([]int, len(lines))
 	for range intArg(t, d, "windows") {
 		for range intArg(t, d, "firsts") {
 			s.tries.Arrive(s.at, false)
@@ -82,7 +82,7 @@
 				d.Fatalf(t, "%v", err)
 			}
 			for n := range count {
-				asked[i]++
+				requested[i]++
 				if s.tries.Reject(s.at, NewPrecedence(jackdawbridge.Level(rank), left, uint8(n))) {
 					granted[i]++
 				}
@@ -92,7 +92,7 @@
 	}
 	var b strings.Builder
 	for i, line := range lines {
-		fmt.Fprintf(&b, "%s: granted %d of %d\n", line, granted[i], asked[i])
+		fmt.Fprintf(&b, "%s: granted %d of %d\n", line, granted[i], requested[i])
 	}
 	fmt.Fprintf(&b, "rejected %d permille\n", s.tries.Rejected(s.at))
 	return b.String()
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -11,7 +11,7 @@
 	// service, so that the nodes of a service count alike.
 	newsWeight = 8
 	// silence is how long a threshold holds without a report. It then falls by a rank every
-	// fallTime, so that a service that is heard of only through refused trees is tried again.
+	// fallTime, so that a service that is reached only by refused trees is tried again.
 	silence  = 200 * jackdawbridge.Millis(1)
 	fallTime = 250 * jackdawbridge.Millis(1)
 	// minCalls is the average number of calls of a route at a service, in 1/averageUnit,
--- a/admission/precedence.go
+++ b/admission/precedence.go
@@ -12,7 +12,7 @@
 	averageDivisor = 16
 )
 
-// MaxLeft is the highest number of calls left that is told from more.
+// MaxLeft is the highest number of calls left that is distinguished.
 const MaxLeft = 1<<(8-leftShift) - 1
 
 // Left returns the number of calls that a tree has left after the call of a precedence, at
--- a/effect.go
+++ b/effect.go
@@ -97,7 +97,7 @@
 // Attempt returns the attempt, 0 for a run.
 func (c *Cancel) Attempt() int { return c.attempt }
 
-// CancelCause tells why an attempt or a run was cancelled.
+// CancelCause is the reason why an attempt or a run was cancelled.
 type CancelCause uint8
 
 // The causes.
--- a/message.go
+++ b/message.go
@@ -27,7 +27,7 @@
 	return EraDigest{current: current, informed: informed, sinceReturn: max(sinceReturn, 0)}
 }
 
-// Current returns the highest era that the sender has heard of, 0 if none.
+// Current returns the highest era that the sender knows, 0 if none.
 func (d EraDigest) Current() uint64 { return d.current }
 
 // Informed reports whether the sender would know if the store had come back from an older
--- a/queue/priority.go
+++ b/queue/priority.go
@@ -26,7 +26,7 @@
 const (
 	ranks  = int(jackdawbridge.MaxRank) + 1
 	depths = jackdawbridge.MaxDepth + 1
-	// stages is the number of steps of progress of a tree that are told apart.
+	// stages is the number of steps of progress of a tree that are distinguished.
 	stages = admission.MaxLeft + 1
 	none   = int32(-1)
 )
--- a/reducer/eras.go
+++ b/reducer/eras.go
@@ -9,7 +9,7 @@
 	// eraQuiet is how long after a return no node changes the range record. In this time
 	// the newest record that any member has spreads, since the store may have lost it.
 	eraQuiet = 2 * jackdawbridge.Second
-	// eraInformWait bounds how long a new process waits until a peer tells it whether the
+	// eraInformWait bounds how long a new process waits until a peer reports whether the
 	// store has come back lately.
 	eraInformWait = jackdawbridge.Second
 	// firstEra is the era of a store that has not come back from an older copy yet.
@@ -22,7 +22,7 @@
 // on with their digests, so that nodes without calls to the store notice it too.
 type eras struct {
 	r        *Reducer
-	current  uint64               // highest era heard of, 0 if none or if the store has no eras; never falls
+	current  uint64               // highest era known, 0 if none or if the store has no eras; never falls
 	known    bool                 // the store has answered this process, or a peer has named an era
 	returned jackdawbridge.Millis // when the last return known was first noticed, 0 if none is known
 	informed bool                 // this process would know of a return within departureLease, by itself or from a peer
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -18,7 +18,7 @@
 // childPrecedence returns the precedence of the next call of a run. It rises with each call
 // that the run has behind it: a second try of the last one gains a whole request, and one
 // of the first gains only the chance to need more. Where runs make a single call, nothing
-// is told apart.
+// is distinguished.
 func (p *runs) childPrecedence(u *run) jackdawbridge.Precedence {
 	own, calls := u.envelope.Precedence(), p.callCounts[classOf(u.envelope)].Round()
 	left := admission.MaxLeft
--- a/reducer/warmup.go
+++ b/reducer/warmup.go
@@ -74,7 +74,7 @@
 }
 
 // evacuationEnded assumes that the backend server is cold, since it had nothing to do while
-// its data centre was evacuated. The next announcement tells whether it is.
+// its data centre was evacuated. The next announcement says whether it is.
 func (p *warmup) evacuationEnded() {
 	s := p.slowStart()
 	if s == nil || p.r.self.State() == jackdawbridge.PeerStarting {
@@ -124,7 +124,7 @@
 }
 
 // allows reports whether a request may be sent to the backend server now. A cold one gets
-// none before the first config table tells its rate.
+// none before the first config table gives its rate.
 func (p *warmup) allows() bool {
 	switch {
 	case !p.cold():
