jackdawbridge, wire: smaller usage in feedback

Each event, effect and decision copies the usage of a request, 392 bytes.

Change: its numbers take 4 or 2 bytes, 264 in all, and an answer's usage is encoded from one allocation.

Measured: go test . ./wire ./admission ./node passes.

--- a/usage.go
+++ b/usage.go
@@ -1,5 +1,7 @@
 package jackdawbridge
 
+import "math"
+
 // Precedence orders the requests that compete for the same service. The higher byte is the
 // rank; the lower byte orders the requests of a rank. It is set at the entry node and
 // inherited by all calls of the request.
@@ -27,19 +29,22 @@
 // maxUsageCalls bounds the calls of one request that are counted.
 const maxUsageCalls = 1 << 20
 
+// maxUsageWork bounds the work of one request that is counted.
+const maxUsageWork = Millis(math.MaxInt32)
+
 // ServiceUsage is what a request used of one service, and what that service admits.
 type ServiceUsage struct {
 	service        ServiceName
-	calls          int        // calls that the request caused there, 0 to maxUsageCalls
-	work           Millis     // time that its backend servers worked on them, 0 to maxDuration
+	calls          int32      // calls that the request caused there, 0 to maxUsageCalls
+	work           int32      // time that its backend servers worked on them in milliseconds, 0 to maxUsageWork
 	threshold      Precedence // requests below it find no room there
 	retryThreshold Precedence // requests below it get no second try there
-	rejected       int        // permille of the calls that its backend servers reject, 0 to 1000
+	rejected       int16      // permille of the calls that its backend servers reject, 0 to 1000
 }
 
 // NewServiceUsage returns the calls and the work that a request caused at a service.
 func NewServiceUsage(service ServiceName, calls int, work Millis) ServiceUsage {
-	return ServiceUsage{service: service, calls: min(max(calls, 0), maxUsageCalls), work: min(max(work, 0), maxDuration)}
+	return ServiceUsage{service: service, calls: int32(min(max(calls, 0), maxUsageCalls)), work: int32(min(max(work, 0), maxUsageWork))}
 }
 
 // WithThresholds returns u with the precedence below which the service has no room, and the
@@ -52,7 +57,7 @@
 // WithRejected returns u with the part of the calls that the backend servers of the service
 // reject, in permille.
 func (u ServiceUsage) WithRejected(permille int) ServiceUsage {
-	u.rejected = min(max(permille, 0), 1000)
+	u.rejected = int16(min(max(permille, 0), 1000))
 	return u
 }
 
@@ -60,10 +65,10 @@
 func (u ServiceUsage) Service() ServiceName { return u.service }
 
 // Calls returns the number of calls that the request caused at the service.
-func (u ServiceUsage) Calls() int { return u.calls }
+func (u ServiceUsage) Calls() int { return int(u.calls) }
 
 // Work returns how long backend servers of the service worked on those calls.
-func (u ServiceUsage) Work() Millis { return u.work }
+func (u ServiceUsage) Work() Millis { return Millis(u.work) }
 
 // Threshold returns the precedence below which requests find no room at the service, 0 if
 // all do.
@@ -75,7 +80,7 @@
 
 // Rejected returns the part of the calls that the backend servers of the service reject, in
 // permille.
-func (u ServiceUsage) Rejected() int { return u.rejected }
+func (u ServiceUsage) Rejected() int { return int(u.rejected) }
 
 // Usage lists the services that a request reached, each at most once. It is a value, so
 // that it can be copied out of the state of a reducer.
@@ -108,7 +113,7 @@
 		o := &u.services[i]
 		if o.service == s.service {
 			o.calls = min(o.calls+s.calls, maxUsageCalls)
-			o.work = min(o.work+s.work, maxDuration)
+			o.work = int32(min(Millis(o.work)+Millis(s.work), maxUsageWork))
 			o.threshold = max(o.threshold, s.threshold)
 			o.retryThreshold = max(o.retryThreshold, s.retryThreshold)
 			o.rejected = max(o.rejected, s.rejected)
--- a/wire/request_head.go
+++ b/wire/request_head.go
@@ -156,13 +156,12 @@
 	if u.Len() == 0 {
 		return nil
 	}
-	list := make([]*pb.Use, u.Len())
+	list, uses := make([]*pb.Use, u.Len()), make([]pb.Use, u.Len())
 	for i := range list {
-		s := u.At(i)
-		list[i] = &pb.Use{
-			Service: string(s.Service()), Calls: int64(s.Calls()), Work: int64(s.Work()),
-			Bar: uint32(s.Threshold()), Retry: uint32(s.RetryThreshold()), Rejected: int64(s.Rejected()),
-		}
+		s, use := u.At(i), &uses[i]
+		use.Service, use.Calls, use.Work = string(s.Service()), int64(s.Calls()), int64(s.Work())
+		use.Bar, use.Retry, use.Rejected = uint32(s.Threshold()), uint32(s.RetryThreshold()), int64(s.Rejected())
+		list[i] = use
 	}
 	return list
 }
