--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -46,7 +46,7 @@
 		}
 	case "hear":
 		usage := s.usage(t, d)
-		s.forecast.Hear(s.at, &usage)
+		s.forecast.Observe(s.at, &usage)
 	case "wait":
 		s.at += jackdawbridge.Millis(intArg(t, d, "ms"))
 	case "threshold":
@@ -169,7 +169,7 @@
 		gate.Arrive(p)
 		gate.Done(40)
 		gate.Threshold(at, 40, true)
-		forecast.Hear(at, &usage)
+		forecast.Observe(at, &usage)
 		forecast.Learn(key, &usage)
 		forecast.Threshold(at, key)
 	}
@@ -194,7 +194,7 @@
 		gate.Arrive(p)
 		gate.Done(40)
 		gate.Threshold(at, 40, true)
-		forecast.Hear(at, &usage)
+		forecast.Observe(at, &usage)
 		forecast.Learn(key, &usage)
 		forecast.Threshold(at, key)
 	}
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -7,9 +7,9 @@
 	// of it is learned again.
 	maxRoutes   = 4096
 	maxServices = 1024
-	// newsWeight is the divisor that gives a report a weight of 1/8 in the threshold of a
+	// reportWeight is the divisor that gives a report a weight of 1/8 in the threshold of a
 	// service, so that the nodes of a service count alike.
-	newsWeight = 8
+	reportWeight = 8
 	// silence is how long a threshold holds without a report. It then falls by a rank every
 	// fallTime, so that a service that is reached only by refused trees is tried again.
 	silence  = 200 * jackdawbridge.Millis(1)
@@ -66,8 +66,8 @@
 	return &Forecast{routes: make(map[RouteKey]*profile), services: make(map[jackdawbridge.ServiceName]*report)}
 }
 
-// Hear records what the services report that a request or a call has reached.
-func (f *Forecast) Hear(at jackdawbridge.Millis, usage *jackdawbridge.Usage) {
+// Observe records what the services report that a request or a call has reached.
+func (f *Forecast) Observe(at jackdawbridge.Millis, usage *jackdawbridge.Usage) {
 	for i := range usage.Len() {
 		u := usage.At(i)
 		s, ok := f.services[u.Service()]
@@ -83,7 +83,7 @@
 			f.services[u.Service()] = s
 		}
 		s.threshold = s.current(at)
-		s.threshold += (int(min(u.Threshold(), jackdawbridge.MaxPrecedence)) - s.threshold) / newsWeight
+		s.threshold += (int(min(u.Threshold(), jackdawbridge.MaxPrecedence)) - s.threshold) / reportWeight
 		s.at = at
 	}
 }
--- a/reducer/trees.go
+++ b/reducer/trees.go
@@ -134,7 +134,7 @@
 // made the call.
 func (p *calls) learnUsage(c *call, feedback *jackdawbridge.Feedback, served bool) {
 	usage := feedback.Usage()
-	p.forecast.Hear(p.r.now, &usage)
+	p.forecast.Observe(p.r.now, &usage)
 	if served && c.route != nil && c.envelope.Depth() == 0 {
 		p.forecast.Learn(c.routeKey(), &usage)
 	}
