standin: a range call is counted together with its read

The script waits until the stand-in has counted a slow read and then changes the item; the count rose before the items were read, so that the change could come between.

Ruled out: the product; its read began before the change in both orders.

Change: the count rises in the critical section of the read.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -93,6 +93,13 @@
 func (p *Platform) beginCall(r *http.Request, kind string) {
 	p.mu.Lock()
 	p.control.Calls[kind]++
+	p.mu.Unlock()
+	p.awaitTurn(r)
+}
+
+// awaitTurn applies the delay and the outage set by /control.
+func (p *Platform) awaitTurn(r *http.Request) {
+	p.mu.Lock()
 	delay := time.Duration(p.control.DelayMillis) * time.Millisecond
 	p.mu.Unlock()
 	if delay > 0 {
@@ -136,9 +143,10 @@
 
 // scan returns a page of the items with a prefix, in the order of their keys.
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
-	p.beginCall(r, "range")
+	p.awaitTurn(r)
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	p.mu.Lock()
+	p.control.Calls["range"]++ // together with the read, so that a test can begin a change after both
 	page := platform.Range{Items: []platform.Item{}, StoreRevision: p.revision}
 	for _, key := range slices.Sorted(maps.Keys(p.items)) {
 		switch {
