review: case 8: heartbeats of another writer that lack a field

The script sends heartbeats without zone in place of ones without seq, so that the result does not depend on the moment at which they arrive. Cause, as far as known: the node takes them as the server's own, and acknowledges the server's true ones, which say that it drains, as outdated.

--- a/review/standin2/odd.go
+++ b/review/standin2/odd.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	// oddAfter is how long after a heartbeat of the backend server the odd one arrives.
-	oddAfter = 50 * time.Millisecond
+	// writerLead is how long the other writer sends before the backend server drains.
+	writerLead = heartbeatInterval / 2
+	// writerSeq is the number of the other writer's first heartbeat.
+	writerSeq = 1000
 	// drainingTime is how long the backend server goes on after its draining was acknowledged.
 	drainingTime = 8 * time.Second
 )
 
 // runOdd lets a backend server drain, and the node acknowledges that. With the disruption,
-// heartbeats of another writer that lack a field arrive after the drain period.
+// heartbeats of another writer that lack a field arrive beside those of the backend server.
 func runOdd(f *fleet, trouble bool) error {
 	s := &leavingServer{}
 	hosts := []listener{{Host: "stands.example", Rules: []rule{newRule("r-pay", "non_idempotent", "/pay/", logs, 2000)}}}
@@ -41,8 +43,12 @@
 }
 
 // drainBesideWriter lets the backend server of a machine drain. All of its heartbeats say so.
-// The other writer sends as often as the backend server itself.
 func (s *leavingServer) drainBesideWriter(f *fleet, m *machine, trouble bool) error {
+	if trouble {
+		stop := m.app.beginOtherWriter()
+		defer stop()
+	}
+	time.Sleep(writerLead)
 	m.app.stopBeats()
 	if err := m.app.drain(); err != nil {
 		return err
@@ -56,13 +62,6 @@
 		time.Sleep(heartbeatInterval)
 		seq := m.app.nextSeq()
 		f.record.line("backend %s: heartbeat %d, draining, acknowledged: %v", m.app.id, seq, m.app.announce("Heartbeat", seq))
-		if !trouble || time.Since(left) < drainPeriod {
-			continue
-		}
-		time.Sleep(oddAfter)
-		odd := m.app.fields()
-		odd["state"] = "ready"
-		f.record.line("another writer: heartbeat without seq, %v, acknowledged: %v", odd, m.app.post("Heartbeat", odd))
 	}
 	if !m.app.announce("Deregister", m.app.nextSeq()) {
 		return errors.New("the departure was not acknowledged")
@@ -71,3 +70,23 @@
 	f.record.line("backend %s: exits", m.app.id)
 	return nil
 }
+
+// beginOtherWriter begins to send heartbeats without a zone, as often as the backend server
+// itself, until the result is called.
+func (b *backend) beginOtherWriter() (stop func()) {
+	done := make(chan struct{})
+	fields := b.fields()
+	delete(fields, "zone")
+	go func() {
+		for seq := writerSeq; ; seq++ {
+			fields["seq"] = seq
+			b.machine.fleet.record.line("another writer: a heartbeat without zone, %v, acknowledged: %v", fields, b.post("Heartbeat", fields))
+			select {
+			case <-time.After(heartbeatInterval):
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
