platform: a part of the operators' document that cannot be used does not withhold the rest

What callers saw: a version that takes a key or a route away and has one part beside it that the product cannot represent was never put in force, at no node.

Cause: Tables.tables translated the document as a whole. Each constructor, each bound of check.go, and encoding/json itself for a member of another type or a number like 1e3, returned an error that became ErrInvalid for the record, so that every node kept its last tables.

A route whose service cannot be used is closed: its requests are refused as not run, with 503, and are not left to the route of a shorter prefix, which may be public. A number beyond a bound is the bound. Only a document that is no JSON object or has no version leaves the version before in force.

Operators see it: tables carry their omissions, also from peer to peer, and each node logs each once for each version with the entry and the cause; config_omitted, config_omissions_total and config_version are metrics. A table from a peer that has omissions is compared with the platform's by a read of the node's own, since a peer of another version may leave out more.

Why it holds: no error of a part reaches the record any more, and Entry.Check removes what a translation might still pass on.

--- a/behaviour.go
+++ b/behaviour.go
@@ -46,7 +46,8 @@
 }
 
 // Codec encodes and decodes frames, the heads of requests and answers, and stored
-// values. Decoding fails on any input that violates an invariant of the types.
+// values. Decoding fails on any input that violates an invariant of the types, except for an
+// entry of a table: it is left out as an omission of the table.
 type Codec interface {
 	EncodeFrame(frame Frame) ([]byte, error)
 	DecodeFrame(data []byte) (Frame, error)
--- a/check.go
+++ b/check.go
@@ -22,7 +22,6 @@
 	maxRoutes            = 1 << 15 // of a service; a stored value has no room for more
 	maxMethods           = 16      // of a route
 	maxDestinations      = 64      // of a route
-	maxWeight            = 1 << 30 // of a destination; sums of weights stay far from overflow
 	maxWitnesses         = 5       // of a range record
 	maxShards            = 65536   // of an account in a data centre
 	maxTokens            = 1 << 40 // sums of tokens and of thousandths of a token stay far from overflow
@@ -33,6 +32,23 @@
 	maxTime              = Millis(1 << 50) // far beyond any real date; adding a duration cannot overflow
 )
 
+// MaxWeight is the largest weight of a destination. Sums of weights stay far from overflow.
+const MaxWeight = 1 << 30
+
+// CheckName returns an error if name cannot be that of an account, a service or a host.
+func CheckName(name string) error {
+	var c validator
+	c.name(name, "name")
+	return c.err
+}
+
+// CheckPrefix returns an error if prefix cannot be that of a route.
+func CheckPrefix(prefix string) error {
+	var c validator
+	c.prefix(prefix)
+	return c.err
+}
+
 // validator records the first violation that its methods find. Checks after that have
 // no effect.
 type validator struct{ err error }
@@ -65,6 +81,10 @@
 	c.optionalName(name, what)
 }
 
+func (c *validator) prefix(prefix string) {
+	c.require(len(prefix) <= maxPrefixBytes, "prefix has %d bytes: want at most %d", len(prefix), maxPrefixBytes)
+}
+
 func (c *validator) node(n Node, what string) { c.name(string(n.instance), what) }
 
 func (c *validator) address(a netip.AddrPort, what string) {
@@ -145,7 +165,7 @@
 // Check returns an error if a field of r has an invalid value.
 func (r Refusal) Check() error {
 	var c validator
-	c.require(r.reason != NoReason && r.reason <= Warming, "reason %d is unknown", r.reason)
+	c.require(r.reason != NoReason && r.reason <= Misconfigured, "reason %d is unknown", r.reason)
 	c.require(r.outcome == NotRun || r.outcome == Unknown, "outcome %d of a refusal: want not-run or unknown", r.outcome)
 	c.requireRange(int64(r.retryAfter), 0, int64(maxDuration), "retry delay")
 	c.status(r.status)
@@ -275,14 +295,15 @@
 		c.require(!duplicate, "duplicate entry %q", e.name)
 		c.require(e.revision > since && e.revision <= revision, "entry %q has revision %d: want %d to %d", e.name, e.revision, since+1, revision)
 		c.require(strings.HasPrefix(e.name, "key/") == (name == KeysTable), "entry %q does not belong to table %s", e.name, name)
-		c.requireNoError(e.check(), "entry")
+		c.requireNoError(e.Check(), "entry")
 	}
 }
 
 // entryKinds are the prefixes of the names of entries.
 var entryKinds = []string{"account", "service", "key", "slowstart", "evacuation"}
 
-func (e Entry) check() error {
+// Check returns an error if e has an invalid name or value.
+func (e Entry) Check() error {
 	var c validator
 	kind, name, ok := strings.Cut(e.name, "/")
 	c.require(ok && slices.Contains(entryKinds, kind), "name %q has no known prefix", e.name)
@@ -299,7 +320,7 @@
 	case e.service != nil:
 		c.require(len(e.service.routes) <= maxRoutes, "%d routes: want at most %d", len(e.service.routes), maxRoutes)
 		for _, r := range e.service.routes {
-			c.require(len(r.prefix) <= maxPrefixBytes, "prefix has %d bytes: want at most %d", len(r.prefix), maxPrefixBytes)
+			c.prefix(r.prefix)
 			c.require(len(r.methods) <= maxMethods, "%d methods: want at most %d", len(r.methods), maxMethods)
 			for _, m := range r.methods {
 				c.name(m, "method")
@@ -307,7 +328,7 @@
 			c.require(len(r.destinations) <= maxDestinations, "%d destinations: want at most %d", len(r.destinations), maxDestinations)
 			for _, d := range r.destinations {
 				c.name(string(d.service), "destination")
-				c.requireRange(int64(d.weight), 1, maxWeight, "weight")
+				c.requireRange(int64(d.weight), 1, MaxWeight, "weight")
 			}
 			c.requireRange(int64(r.timeout), 0, int64(maxDuration), "timeout")
 			c.requireRange(int64(r.objective), 0, int64(maxDuration), "objective")
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -105,6 +105,20 @@
 		return f.ends()
 	case "raw":
 		return f.raw(arg(d, "node"), arg(d, "listener"), d.Input)
+	case "operator": // writes an item of the operators
+		return "", f.writeItem(arg(d, "key"), d.Input)
+	case "await-raw":
+		head, want, _ := strings.Cut(d.Input, "\nwant: ")
+		return f.poll("answer", func() (string, bool) {
+			got, err := f.raw(arg(d, "node"), "callers", head)
+			return got, err == nil && got == want
+		})
+	case "logged": // lines of a process with the given text, without their times
+		want, _ := strconv.Atoi(arg(d, "lines"))
+		return f.poll("log lines", func() (string, bool) {
+			lines := f.logged(arg(d, "process"), strings.TrimSpace(d.Input))
+			return strings.Join(lines, "\n"), len(lines) >= want
+		})
 	case "metric":
 		return f.metric(arg(d, "node"), arg(d, "name"))
 	case "load":
@@ -334,6 +348,34 @@
 	return strings.TrimSpace(fmt.Sprintf("%d %s %s %s", response.StatusCode, response.Header.Get("Jackdaw-Outcome"), response.Header.Get("Jackdaw-Reason"), suffix)), nil
 }
 
+// writeItem writes an item of the operators to the platform. It repeats the call until the
+// platform is up.
+func (f *fleet) writeItem(key, value string) error {
+	_, err := f.poll("the platform", func() (string, bool) {
+		request, err := http.NewRequest(http.MethodPut, "http://"+f.platform+"/operator/"+key, strings.NewReader(value))
+		if err != nil {
+			return err.Error(), false
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return err.Error(), false
+		}
+		return response.Status, response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	})
+	return err
+}
+
+// logged returns the log lines of a process that contain a text, from their message on.
+func (f *fleet) logged(process, text string) []string {
+	var lines []string
+	for line := range strings.Lines(f.processes[process].out.String()) {
+		if _, message, ok := strings.Cut(line, `"msg":`); ok && strings.Contains(line, text) {
+			lines = append(lines, strings.TrimSpace(message))
+		}
+	}
+	return lines
+}
+
 // metric returns the line of a metric on a node's metrics page, or "none".
 func (f *fleet) metric(node, name string) (string, error) {
 	page, err := fetchPage(context.Background(), f.nodes[node].admin, "/metrics")
--- a/config.go
+++ b/config.go
@@ -162,6 +162,7 @@
 	criticality  Criticality
 	idempotent   bool
 	open         bool          // needs no key
+	closed       bool          // see AsClosed
 	destinations []Destination // empty to use the service that the request names
 	timeout      Millis        // longest time to the answer, 0 for no limit
 	objective    Millis        // latency objective: later answers are worth less; 0 if unknown
@@ -190,6 +191,15 @@
 	return &c
 }
 
+// AsClosed returns a copy of r whose requests are refused as not run, since the configuration
+// names no service that they may be sent to.
+func (r *Route) AsClosed() *Route {
+	c := *r
+	c.closed = true
+	c.destinations = nil
+	return &c
+}
+
 // WithTimes returns a copy of r with the given timeout and latency objective, 0 for
 // none.
 func (r *Route) WithTimes(timeout, objective Millis) *Route {
@@ -222,6 +232,9 @@
 // Open reports whether requests of r need no key.
 func (r *Route) Open() bool { return r.open }
 
+// Closed reports whether all requests of r are refused as not run.
+func (r *Route) Closed() bool { return r.closed }
+
 // Destinations returns the services that requests of r are sent to. If there are
 // none, a request is sent to the service that it names. The caller must not change
 // the slice.
--- a/dialect.go
+++ b/dialect.go
@@ -40,6 +40,9 @@
 	AcknowledgeAnnouncement(w http.ResponseWriter)
 	// ReadyPath returns the path of the readiness check.
 	ReadyPath() string
+	// ConfigVersion returns the version that operators gave to the configuration with the
+	// given revision of the config table, 0 for none.
+	ConfigVersion(revision uint64) uint64
 }
 
 // SingleHeaderValue returns the value of a header that may occur at most once, ""
--- a/message_settings.go
+++ b/message_settings.go
@@ -32,6 +32,8 @@
 	revision uint64 // above since
 	change   string // id of the change that created the revision
 	entries  []Entry
+
+	omissions Omissions // of the table
 }
 
 // NewTableDelta returns the changes from the revision since to a newer revision.
@@ -39,6 +41,15 @@
 	return &TableDelta{name: name, since: since, revision: revision, change: change, entries: entries}
 }
 
+// WithOmissions returns d with the omissions of the table.
+func (d *TableDelta) WithOmissions(omissions Omissions) *TableDelta {
+	d.omissions = omissions
+	return d
+}
+
+// Omissions returns the omissions of the table that results from applying the entries.
+func (d *TableDelta) Omissions() Omissions { return d.omissions }
+
 // Name returns the name of the table.
 func (d *TableDelta) Name() RecordName { return d.name }
 
--- a/native/native.go
+++ b/native/native.go
@@ -212,6 +212,9 @@
 	return jackdawbridge.NewAnnouncement(jackdawbridge.ServiceName(a.Service), address, a.Slots, a.Conns, state)
 }
 
+// ConfigVersion returns the revision, since operators give the configuration no other version.
+func (d Dialect) ConfigVersion(revision uint64) uint64 { return revision }
+
 // AcknowledgeAnnouncement answers an announcement that was accepted.
 func (d Dialect) AcknowledgeAnnouncement(w http.ResponseWriter) { w.WriteHeader(http.StatusNoContent) }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	gometrics "github.com/rcrowley/go-metrics"
 )
@@ -17,6 +18,8 @@
 	registry gometrics.Registry
 	calls    *histogram // duration of a call at its entry node
 	runs     *histogram // time from sending a request to the local backend server to the start of its answer
+
+	raising sync.Mutex // held by setCounter
 }
 
 func newMetrics(registry gometrics.Registry) *metrics {
@@ -33,6 +36,14 @@
 	gometrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
 
+// setCounter raises a counter, which is created if needed, to a value.
+func (m *metrics) setCounter(name string, value int64) {
+	m.raising.Lock()
+	defer m.raising.Unlock()
+	counter := gometrics.GetOrRegisterCounter(name, m.registry)
+	counter.Inc(value - counter.Count())
+}
+
 // write writes all metrics in the Prometheus text format.
 func (m *metrics) write(w io.Writer) {
 	all := make(map[string]any)
--- a/outcome.go
+++ b/outcome.go
@@ -48,6 +48,7 @@
 	UpstreamsFull // each upstream of the service already has as many calls as connections
 	BackendFull   // the backend server received the request but did not run it
 	Warming       // the backend server is cold and gets no more requests now
+	Misconfigured // the part of the configuration that covers the request cannot be used
 )
 
 // String returns the reason in lower case.
@@ -56,7 +57,7 @@
 		"invalid key", "unconfirmed key", "invalid token", "too deep", "over rate", "overloaded",
 		"deadline passed", "no upstream", "upstream failed", "draining", "quarantined",
 		"already running", "already ran", "in doubt", "home unreachable", "bad input",
-		"backend server down", "cancelled", "upstreams full", "backend server full", "backend server cold")
+		"backend server down", "cancelled", "upstreams full", "backend server full", "backend server cold", "misconfigured")
 }
 
 // Refusal is the answer to a request that was not served.
--- a/record.go
+++ b/record.go
@@ -156,6 +156,8 @@
 	revision uint64  // increases with each change
 	change   string  // id of the change that created this revision
 	entries  []Entry // sorted by name; no entry has a revision above that of the table
+
+	omissions Omissions // parts of the table's source that cannot be used
 }
 
 // NewTable returns a table with the given entries.
@@ -200,6 +202,16 @@
 // Change returns the id of the change that created t.
 func (t *Table) Change() string { return t.change }
 
+// WithOmissions returns a copy of t whose source has parts that cannot be used.
+func (t *Table) WithOmissions(omissions Omissions) *Table {
+	c := *t
+	c.omissions = omissions
+	return &c
+}
+
+// Omissions returns the parts of the table's source that cannot be used.
+func (t *Table) Omissions() Omissions { return t.omissions }
+
 // Entries returns the entries of t, tombstones included, sorted by name. The caller
 // must not change them.
 func (t *Table) Entries() []Entry { return t.entries }
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -88,11 +88,14 @@
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Draining))
 		return
 	}
-	if reason := p.identify(c); reason != jackdawbridge.NoReason {
+	switch reason := p.identify(c); reason {
+	case jackdawbridge.NoReason:
+		p.admit(c)
+	case jackdawbridge.Misconfigured: // until a change of the configuration is in force
+		p.refuse(c, jackdawbridge.NotRunRefusal(reason).WithRetryAfter(p.r.settings.applyLimit()))
+	default:
 		p.refuse(c, jackdawbridge.NotRunRefusal(reason))
-		return
 	}
-	p.admit(c)
 }
 
 // identify finds the route and the client account of a request and fills in its
@@ -104,12 +107,15 @@
 	c.config, c.keys = p.r.settings.config.revision(), p.r.settings.keys.revision()
 	service, ok := p.r.settings.service(c.request.Service())
 	if !ok {
-		return jackdawbridge.UnknownService
+		return p.r.settings.config.missing(jackdawbridge.UnknownService)
 	}
 	route := service.Route(c.request.Method(), c.request.Path())
 	if route == nil {
 		return jackdawbridge.UnknownRoute
 	}
+	if route.Closed() {
+		return jackdawbridge.Misconfigured
+	}
 	c.route = route
 	if c.request.Token() != (jackdawbridge.Token{}) {
 		return p.identifyChild(c, route)
--- a/reducer/harness_test.go
+++ b/reducer/harness_test.go
@@ -130,6 +130,7 @@
 	cuts             map[[2]string]bool                                // one way: from, to
 	published        map[jackdawbridge.RecordName]*jackdawbridge.Table // newest revision
 	previous         map[jackdawbridge.RecordName]*jackdawbridge.Table // revision before the newest
+	whole            *jackdawbridge.Table                              // the table of the last omit with the entry
 	onChange         func(name jackdawbridge.RecordName, revision uint64, entries []jackdawbridge.Entry)
 	lastFaultChange  jackdawbridge.Millis               // when a fault last began or ended
 	nodeFaults       map[string]jackdawbridge.Millis    // when a node was last started, or kept from running or from the platform
--- a/reducer/reload.go
+++ b/reducer/reload.go
@@ -10,7 +10,8 @@
 // quotas that no longer need to be held back.
 func (p *shares) reload() {
 	revision := p.r.settings.revision(jackdawbridge.ConfigTable)
-	if revision != p.revision {
+	if revision != p.revision || p.outdated {
+		p.outdated = false
 		p.replan(revision)
 	}
 	if !p.growthHeld || p.r.now < p.nextHoldCheck {
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -124,6 +124,12 @@
 		return h.setRecordState(jackdawbridge.RecordName(arg(d, "name", "keys")), arg(d, "state", ""))
 	case "withdraw":
 		h.change(jackdawbridge.KeysTable, jackdawbridge.Tombstone(jackdawbridge.KeyEntryName(keyHash(arg(d, "key", "")))))
+	case "omit":
+		h.omit(arg(d, "entry", ""), d.HasArg("partial"))
+	case "put-whole":
+		h.putWhole()
+	case "next-version":
+		h.publishNext(arg(d, "version", ""))
 	case "republish":
 		h.change(jackdawbridge.ConfigTable, h.config...)
 	case "grant":
@@ -222,7 +228,7 @@
 // configure publishes accounts, routes and keys, one per line:
 //
 //	account NAME RATE BURST DC:PERMILLE,... [paid] [refuse]
-//	route SERVICE PREFIX CRITICALITY [idempotent] [open] [to=SERVICE:WEIGHT,...] [timeout=MS] [attempts=N]
+//	route SERVICE PREFIX CRITICALITY [idempotent] [open] [to=SERVICE:WEIGHT,...] [timeout=MS] [attempts=N] [closed]
 //	key KEY ACCOUNT
 //	cold SERVICE MS RATE
 //
@@ -282,6 +288,8 @@
 			route = route.WithTimes(jackdawbridge.Millis(n), 0)
 		case "attempts":
 			route = route.WithAttempts(n)
+		case "closed":
+			route = route.AsClosed()
 		case "to":
 			var destinations []jackdawbridge.Destination
 			for _, part := range strings.Split(value, ",") {
--- a/reducer/settings.go
+++ b/reducer/settings.go
@@ -57,19 +57,21 @@
 // tableState is the state of one table at this node.
 type tableState struct {
 	name         jackdawbridge.RecordName
-	table        *jackdawbridge.Table // nil until one has been loaded; its revision never falls
-	version      uint64               // version of the platform's record when last read
-	versionValid bool                 // version has been set by a successful read
-	readRevision uint64               // revision of the table in the record of that version, 0 if it was refused
-	watching     bool                 // a Watch is pending
-	watchDue     jackdawbridge.Millis // time of the next Watch
-	confirmed    jackdawbridge.Millis // latest time at which the platform is proven to have had no newer revision, 0 if none
-	refusal      string               // why a table was last refused, so that this is logged once
-	newest       uint64               // newest revision that a peer reported
-	source       jackdawbridge.Peer   // the peer that first reported newest
-	pulls        int                  // number of repeated pulls of newest, at most maxPulls+1
-	pullDue      jackdawbridge.Millis // time of the next Pull, while newest is above this node's revision
-	held         heldTable            // a newer table that waits for its counterpart
+	table        *jackdawbridge.Table    // nil until one has been loaded; its revision never falls
+	version      uint64                  // version of the platform's record when last read
+	versionValid bool                    // version has been set by a successful read
+	readRevision uint64                  // revision of the table in the record of that version, 0 if it was refused
+	watching     bool                    // a Watch is pending
+	watchDue     jackdawbridge.Millis    // time of the next Watch
+	confirmed    jackdawbridge.Millis    // latest time at which the platform is proven to have had no newer revision, 0 if none
+	refusal      string                  // why a table was last refused, so that this is logged once
+	omissions    jackdawbridge.Omissions // of the table in force, logged
+	fromPeer     bool                    // the table in force was received from a peer
+	newest       uint64                  // newest revision that a peer reported
+	source       jackdawbridge.Peer      // the peer that first reported newest
+	pulls        int                     // number of repeated pulls of newest, at most maxPulls+1
+	pullDue      jackdawbridge.Millis    // time of the next Pull, while newest is above this node's revision
+	held         heldTable               // a newer table that waits for its counterpart
 }
 
 // heldTable is a table from a peer that waits until the other table has the revision
@@ -84,6 +86,15 @@
 	since   jackdawbridge.Millis // when it was first held
 }
 
+// missing returns the reason to refuse a request for an entry that the table in force does not
+// have: the given one, unless a node that passed the table on could not decode all entries.
+func (s *tableState) missing(reason jackdawbridge.Reason) jackdawbridge.Reason {
+	if s.omissions.Partial() {
+		return jackdawbridge.Misconfigured
+	}
+	return reason
+}
+
 // revision returns the revision of the table in force, 0 if there is none.
 func (s *tableState) revision() uint64 {
 	if s.table == nil {
@@ -108,6 +119,8 @@
 	index  index
 	gossip tableGossip
 	reader tableReader
+
+	omitted int // parts that could not be used of all tables that were in force
 }
 
 func newSettings(r *Reducer) settings {
@@ -183,11 +196,11 @@
 	}
 	key, ok := p.index.keys[hash]
 	if !ok {
-		return "", false, jackdawbridge.InvalidKey
+		return "", false, p.keys.missing(jackdawbridge.InvalidKey)
 	}
 	account, ok := p.index.accounts[key.Account()]
 	if !ok {
-		return "", false, jackdawbridge.InvalidKey
+		return "", false, p.config.missing(jackdawbridge.InvalidKey)
 	}
 	if !account.ServeUnconfirmed() && p.confirmedAge() > unconfirmedLimit {
 		return "", false, jackdawbridge.Unconfirmed
@@ -255,9 +268,24 @@
 	s.refusal = ""
 	s.readRevision = table.Revision()
 	p.adopt(s, table, nil, source, jackdawbridge.Node{})
+	p.correct(s, record, source)
 	return true
 }
 
+// correct replaces a table from a peer by the same one as this node has read it, if either
+// has omissions: a peer of another version may use other entries.
+func (p *settings) correct(s *tableState, record jackdawbridge.Record, source string) {
+	read, ok := record.Value().(*jackdawbridge.Table)
+	if !ok || !s.fromPeer || read.Change() != s.table.Change() || s.omissions.Equal(read.Omissions()) && !s.omissions.Partial() {
+		return
+	}
+	if read.Revision() != s.revision() {
+		read = read.At(s.revision())
+	}
+	p.enforce(s, read, nil, source, jackdawbridge.Node{})
+	p.r.shares.outdated = true
+}
+
 // readable returns the table in a record, or the text to log if it is refused.
 func (p *settings) readable(s *tableState, record jackdawbridge.Record) (*jackdawbridge.Table, string) {
 	table, ok := record.Value().(*jackdawbridge.Table)
@@ -365,8 +393,14 @@
 			p.reader.due += p.r.members.jitter(p.limitPart(firstReadPermille))
 		}
 	}
+	p.enforce(s, table, changed, source, from)
+}
+
+// enforce puts a table in force. See adopt for the arguments.
+func (p *settings) enforce(s *tableState, table *jackdawbridge.Table, changed []jackdawbridge.Entry, source string, from jackdawbridge.Node) {
 	first := s.table == nil
 	s.table = table
+	s.fromPeer = !from.IsZero()
 	if changed != nil {
 		p.index.update(changed)
 	} else {
@@ -377,6 +411,7 @@
 	if s.confirmed > 0 {
 		line.Duration("unconfirmed_ms", p.r.now-s.confirmed)
 	}
+	p.reportOmissions(s)
 	if s.name == jackdawbridge.ConfigTable {
 		for _, dc := range p.index.dataCentres() {
 			p.r.members.remote.follow(dc)
@@ -387,6 +422,28 @@
 	p.gossip.roundsLeft, p.gossip.roundDue = roundCount, p.r.now
 }
 
+// reportOmissions logs the parts of the configuration that the table in force lacks, once for
+// each version of it.
+func (p *settings) reportOmissions(s *tableState) {
+	before, now := s.omissions, s.table.Omissions()
+	s.omissions = now
+	if s.fromPeer && now.Count() > 0 {
+		p.reader.compare(p.r.now + p.r.members.jitter(p.limitPart(readRetryPermille)))
+	}
+	if now.Equal(before) {
+		return
+	}
+	p.omitted += now.Count()
+	for _, o := range now.List() {
+		p.r.fx.Warn(jackdawbridge.PartSettings, "part of the configuration cannot be used").Str("table", string(s.name)).
+			Str("version", o.Version()).Str("entry", o.Entry()).Str("cause", o.Reason())
+	}
+	if further := now.Count() - len(now.List()); further > 0 {
+		p.r.fx.Warn(jackdawbridge.PartSettings, "further parts of the configuration cannot be used").Str("table", string(s.name)).
+			Str("version", s.table.Change()).Int("count", int64(further))
+	}
+}
+
 // watches reports whether this node watches the tables.
 func (p *settings) watches() bool {
 	return !p.r.members.starting() && p.r.members.hashRank < watchers
--- a/reducer/share.go
+++ b/reducer/share.go
@@ -54,6 +54,7 @@
 	plans           map[jackdawbridge.AccountName]*plan // of each configured account, and an empty plan for each removed one
 	names           []jackdawbridge.AccountName         // of plans, sorted
 	revision        uint64                              // of the configuration that plans were made from
+	outdated        bool                                // the configuration has changed without a new revision
 	growthHeld      bool                                // whether some plan holds back the growth of its quotas
 	nextHoldCheck   jackdawbridge.Millis                // when plans that hold back growth are checked again
 	configRevisions map[jackdawbridge.DataCentre]uint64 // newest configuration revision seen from each data centre, at most maxRemoteDataCentres
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -13,7 +13,8 @@
 		WithQueue(r.runs.queue.Len(), r.runs.limiter.Limit()).
 		WithSlowStart(r.warmup.left(), r.warmup.refused, r.evacuation.since != 0).
 		WithPlacing(jackdawbridge.NewPlacing(r.routes.estimated, r.runs.work.estimate.Clamped(), r.runs.work.expected, r.runs.work.actual)).
-		WithTrees(r.trees())
+		WithTrees(r.trees()).
+		WithOmitted(r.settings.config.omissions.Count()+r.settings.keys.omissions.Count(), r.settings.omitted)
 }
 
 // trees returns the decisions about call trees.
--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -133,7 +133,7 @@
 		since = 0
 		entries = s.table.Entries()
 	}
-	p.r.send(from, jackdawbridge.NewTableDelta(s.name, since, s.revision(), s.table.Change(), entries))
+	p.r.send(from, jackdawbridge.NewTableDelta(s.name, since, s.revision(), s.table.Change(), entries).WithOmissions(s.table.Omissions()))
 }
 
 // deltaReceived handles the changes of a table from a peer, which had the revisions in the
@@ -169,10 +169,17 @@
 	if err := checkEntries(s.name, m.Entries()); err != nil {
 		return nil, err
 	}
+	var table *jackdawbridge.Table
+	var err error
 	if m.Since() == 0 {
-		return jackdawbridge.NewTable(m.Revision(), m.Change(), m.Entries())
+		table, err = jackdawbridge.NewTable(m.Revision(), m.Change(), m.Entries())
+	} else {
+		table, err = s.table.Merge(m.Revision(), m.Change(), m.Entries())
 	}
-	return s.table.Merge(m.Revision(), m.Change(), m.Entries())
+	if err != nil {
+		return nil, err
+	}
+	return table.WithOmissions(m.Omissions()), nil
 }
 
 // confirm handles the digest in a peer's answer to a probe; sent is when the probe
--- a/reducer/table_reader.go
+++ b/reducer/table_reader.go
@@ -61,6 +61,7 @@
 	due          jackdawbridge.Millis // earliest time of the next read
 	fullDue      jackdawbridge.Millis // time from which the next read is in full
 	ended        bool                 // a read has succeeded or failed since the start or the last freeze
+	compareDue   jackdawbridge.Millis // when a table from a peer is compared with the platform's, 0 if it is not
 	retryWait    jackdawbridge.Millis // mean time from the next failure to the read after it, of a node without a table
 	relayDue     jackdawbridge.Millis // time of the next request for a peer's confirmation
 	relays       int                  // requests since the last newer confirmation
@@ -78,6 +79,13 @@
 	q.due, q.fullDue, q.relayDue = at, at, at
 }
 
+// compare schedules a read in full at the given time, unless there is one earlier.
+func (q *tableReader) compare(at jackdawbridge.Millis) {
+	if q.compareDue == 0 || at < q.compareDue {
+		q.compareDue = at
+	}
+}
+
 // applyLimit returns the time within which a change must be in force. It is at most
 // unconfirmedLimit while some account requires confirmed tables.
 func (p *settings) applyLimit() jackdawbridge.Millis {
@@ -121,7 +129,11 @@
 		}
 		return q.due
 	}
-	return max(q.due, min(p.config.confirmed, p.keys.confirmed)+p.readAge())
+	next := min(p.config.confirmed, p.keys.confirmed) + p.readAge()
+	if q.compareDue > 0 {
+		next = min(next, q.compareDue)
+	}
+	return max(q.due, next)
 }
 
 // tickReads reads the tables if that is due, and requests a confirmation from a peer.
@@ -144,6 +156,9 @@
 func (p *settings) read() {
 	q := &p.reader
 	config, keys := p.config.version, p.keys.version
+	if q.compareDue > 0 && p.r.now >= q.compareDue {
+		q.compareDue, q.fullDue = 0, p.r.now
+	}
 	if p.r.now >= q.fullDue || p.config.readRevision == 0 || p.keys.readRevision == 0 {
 		config, keys = 0, 0
 	}
--- a/status.go
+++ b/status.go
@@ -15,6 +15,8 @@
 	coldLeft    Millis // how long the local backend server is still cold, 0 if it is not
 	coldRefused int    // requests refused because it was cold
 	evacuated   bool   // the data centre of the node is evacuated
+	omitted     int    // parts of the configuration in force that cannot be used
+	everOmitted int    // such parts of all versions that were in force since the start
 	placing     Placing
 	trees       TreeCounts
 }
@@ -49,6 +51,19 @@
 	return s
 }
 
+// WithOmitted returns s with the number of parts that cannot be used of the configuration and
+// keys in force, and of all versions of them since the start.
+func (s Status) WithOmitted(now, ever int) Status {
+	s.omitted, s.everOmitted = now, ever
+	return s
+}
+
+// Omitted returns the number of parts of the configuration and keys in force that cannot be used.
+func (s Status) Omitted() int { return s.omitted }
+
+// EverOmitted returns the number of parts that could not be used of all versions since the start.
+func (s Status) EverOmitted() int { return s.everOmitted }
+
 // ColdLeft returns for how long the local backend server is still cold, 0 if it is not.
 func (s Status) ColdLeft() Millis { return s.coldLeft }
 
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -58,6 +58,7 @@
 	case *jackdawbridge.Table:
 		v.Value = &pb.Value_Table{Table: &pb.Table{
 			Revision: value.Revision(), Change: value.Change(), Entries: mapSlice(value.Entries(), fromEntry),
+			Omitted: fromOmissions(value.Omissions()),
 		}}
 	case *jackdawbridge.Ranges:
 		v.Value = &pb.Value_Ranges{Ranges: fromRanges(value)}
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/netip"
 
 	"github.com/go-faster/errors"
@@ -122,7 +123,12 @@
 		}
 		return destination
 	})
-	return route.WithDestinations(destinations).
+	if p.GetClosed() {
+		route = route.AsClosed()
+	} else {
+		route = route.WithDestinations(destinations)
+	}
+	return route.
 		WithTimes(jackdawbridge.Millis(p.GetTimeout()), jackdawbridge.Millis(p.GetObjective())).
 		WithAttempts(int(p.GetAttempts()))
 }
@@ -171,6 +177,19 @@
 	return e.WithRevision(p.GetRevision())
 }
 
+// omissions decodes the omissions of a table. They are only reported, so that none of them is
+// invalid: texts that are too long are truncated.
+func omissions(p *pb.Omitted) jackdawbridge.Omissions {
+	list := mapSlice(p.GetList(), func(o *pb.Omission) jackdawbridge.Omission {
+		return jackdawbridge.NewOmission(o.GetVersion(), o.GetEntry(), o.GetReason())
+	})
+	decoded := jackdawbridge.NewOmissions(list, int(min(max(p.GetCount(), 0), math.MaxInt32)))
+	if p.GetPartial() && decoded.Count() > 0 {
+		decoded = decoded.AsPartial()
+	}
+	return decoded
+}
+
 // holders returns the holder of each range. A number n > 0 means nodes[n-1], and 0 means
 // that the range has no holder.
 func (d *decoder) holders(nodes []jackdawbridge.Node, numbers []uint32) (holders [jackdawbridge.RangeCount]jackdawbridge.Node) {
@@ -212,8 +231,9 @@
 		t, err := jackdawbridge.NewTable(v.Table.GetRevision(), v.Table.GetChange(), mapSlice(v.Table.GetEntries(), d.entry))
 		if err != nil {
 			d.fail(err)
+			return nil
 		}
-		return t
+		return t.WithOmissions(omissions(v.Table.GetOmitted()))
 	case *pb.Value_Ranges:
 		return d.ranges(v.Ranges)
 	case *pb.Value_Seed:
@@ -263,7 +283,7 @@
 		return jackdawbridge.NewPull(jackdawbridge.RecordName(m.Pull.GetName()), m.Pull.GetSince())
 	case *pb.Frame_Delta:
 		return jackdawbridge.NewTableDelta(jackdawbridge.RecordName(m.Delta.GetName()), m.Delta.GetSince(), m.Delta.GetRevision(),
-			m.Delta.GetChange(), mapSlice(m.Delta.GetEntries(), d.entry))
+			m.Delta.GetChange(), mapSlice(m.Delta.GetEntries(), d.entry)).WithOmissions(omissions(m.Delta.GetOmitted()))
 	case *pb.Frame_Snapshot:
 		return jackdawbridge.NewRangesUpdate(jackdawbridge.DataCentre(m.Snapshot.GetCentre()), m.Snapshot.GetVersion(), d.ranges(m.Snapshot.GetRanges()))
 	case *pb.Frame_Acknowledge:
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -68,7 +68,7 @@
 			Routes: mapSlice(s.Routes(), func(r *jackdawbridge.Route) *pb.Route {
 				return &pb.Route{
 					Prefix: r.Prefix(), Methods: r.Methods(), Criticality: uint32(r.Criticality()),
-					Idempotent: r.Idempotent(), Open: r.Open(),
+					Idempotent: r.Idempotent(), Open: r.Open(), Closed: r.Closed(),
 					Timeout: int64(r.Timeout()), Objective: int64(r.Objective()), Attempts: int64(r.Attempts()),
 					Destinations: mapSlice(r.Destinations(), func(d jackdawbridge.Destination) *pb.Destination {
 						return &pb.Destination{Service: string(d.Service()), Weight: int64(d.Weight())}
@@ -91,6 +91,16 @@
 	return p
 }
 
+// fromOmissions returns nil if there are none.
+func fromOmissions(o jackdawbridge.Omissions) *pb.Omitted {
+	if o.Count() == 0 {
+		return nil
+	}
+	return &pb.Omitted{Count: int64(o.Count()), Partial: o.Partial(), List: mapSlice(o.List(), func(o jackdawbridge.Omission) *pb.Omission {
+		return &pb.Omission{Version: o.Version(), Entry: o.Entry(), Reason: o.Reason()}
+	})}
+}
+
 // fromRanges encodes a range record. The holders refer to a list of nodes by numbers
 // from 1, and 0 means no holder, so that each node is encoded once.
 func fromRanges(r *jackdawbridge.Ranges) *pb.Ranges {
@@ -145,6 +155,7 @@
 	case *jackdawbridge.TableDelta:
 		f.Message = &pb.Frame_Delta{Delta: &pb.Delta{
 			Name: string(m.Name()), Since: m.Since(), Revision: m.Revision(), Change: m.Change(), Entries: mapSlice(m.Entries(), fromEntry),
+			Omitted: fromOmissions(m.Omissions()),
 		}}
 	case *jackdawbridge.RangesUpdate:
 		f.Message = &pb.Frame_Snapshot{Snapshot: fromSnapshot(m.DataCentre(), m.Version(), m.Ranges())}
