check: bounds on what operators configure follow from what a request or a stored value can hold

Cause: the bounds of check.go are there for messages of peers, whose size the transport limits to 2 MB, and were used for the operators' document as well.

Change: names up to 1024 bytes, prefixes up to the largest request header that a node can be set to accept, and as many entries, routes and destinations as 1 MB has room for.

--- a/check.go
+++ b/check.go
@@ -10,18 +10,19 @@
 )
 
 // Limits on input from other processes. They prevent one faulty sender from
-// exhausting the memory of its receivers.
+// exhausting the memory of its receivers. What operators may configure is bounded by the
+// size of a stored value, so that the limits on it only exclude what no request can use.
 const (
-	maxNameBytes         = 255     // bytes of a name, id or label
-	maxPrefixBytes       = 2048    // bytes of a route's prefix
+	maxNameBytes         = 1024    // bytes of a name, id or label
+	maxPrefixBytes       = 1 << 20 // bytes of a route's prefix; the largest request header that a node can be set to accept
 	maxPiggybackedRumors = 8       // of a probe or its answer
 	maxMembers           = 16384   // of a Members message; more than the nodes of the target fleet
 	maxFingerprints      = 16384   // of a CrashReport; as many as the calls that a node holds at once
-	maxEntries           = 65536   // of a table; a stored record is limited to 1 MB
+	maxEntries           = 1 << 18 // of a table; more than a stored record of 1 MB has
 	maxShares            = 64      // of an account
-	maxRoutes            = 1 << 15 // of a service; a stored value has no room for more
+	maxRoutes            = 1 << 16 // of a service; a stored value has no room for more
 	maxMethods           = 16      // of a route
-	maxDestinations      = 64      // of a route
+	maxDestinations      = 1 << 16 // of a route; a stored value has no room for more
 	maxWitnesses         = 5       // of a range record
 	maxShards            = 65536   // of an account in a data centre
 	maxTokens            = 1 << 40 // sums of tokens and of thousandths of a token stay far from overflow
