wire: an entry that a node cannot decode does not withhold the others of its table

What callers saw, by a test: with the native dialect, one entry of the stored table that this version cannot represent made the whole record unreadable, so that a withdrawn key stayed in force at each such node; a table from a peer was dropped with its frame.

Cause: Codec.DecodeValue and DecodeFrame failed for any entry that failed.

Change: such an entry is left out as an omission of the table, and replaced by a tombstone among changed entries, so that no earlier value of it stays in force. Duplicate entries, entries of another table and revisions out of order still refuse the whole table, as they say nothing of one entry.

Tests: ten expectations of testdata/frame and testdata/value said that the frame or the record is refused. They now show what is left of the table and what was omitted, and the rest of the message is compared as before.

--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"fmt"
 	"net/netip"
 	"reflect"
 	"strings"
@@ -96,10 +97,11 @@
 			if err := proto.Unmarshal(encoded, got); err != nil {
 				d.Fatalf(t, "%v", err)
 			}
+			left := takeOmitted(want, got)
 			if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" {
 				return diff
 			}
-			return "ok"
+			return left
 		})
 	})
 	for field, set := range seen {
@@ -109,6 +111,42 @@
 	}
 }
 
+// takeOmitted removes the entries of a table from both messages if entries were omitted at
+// decoding, and returns the names of those that are left with the omissions, otherwise "ok".
+func takeOmitted(want, got proto.Message) string {
+	wanted, entries, omitted := tableOf(want)
+	_, left, found := tableOf(got)
+	if found == nil || *found == nil || *omitted != nil {
+		return "ok"
+	}
+	var lines []string
+	for _, e := range *left {
+		lines = append(lines, entryName(e))
+	}
+	for _, o := range (*found).List {
+		lines = append(lines, "omitted of "+o.Version+": "+o.Entry+": "+o.Reason)
+	}
+	lines = append(lines, fmt.Sprintf("%d of %d entries, count %d, partial %t", len(*left), len(wanted), (*found).Count, (*found).Partial))
+	*entries, *left, *found = nil, nil, nil
+	return strings.Join(lines, "\n")
+}
+
+// tableOf returns the entries of a message with a table, and where it holds them and the
+// omissions.
+func tableOf(m proto.Message) (list []*pb.Entry, entries *[]*pb.Entry, omitted **pb.Omitted) {
+	switch m := m.(type) {
+	case *pb.Frame:
+		if d := m.GetDelta(); d != nil {
+			return d.Entries, &d.Entries, &d.Omitted
+		}
+	case *pb.Value:
+		if t := m.GetTable(); t != nil {
+			return t.Entries, &t.Entries, &t.Omitted
+		}
+	}
+	return nil, nil, nil
+}
+
 // visit records which fields of the root package's structs are set in v, so that the
 // test fails for a field that was added to a struct but not to the codec.
 func visit(seen map[string]bool, v reflect.Value) {
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/hex"
 	"math"
 	"net/netip"
 
@@ -190,6 +191,50 @@
 	return decoded
 }
 
+// entries decodes the entries of a table, or changed ones since a revision, and adds to the
+// omissions. An entry with an invalid value may come from another version of this program. It
+// is left out, so that the others come into force, and a tombstone replaces it among changes,
+// so that no earlier value of it stays in force.
+func entries(list []*pb.Entry, since uint64, change string, omitted jackdawbridge.Omissions) ([]jackdawbridge.Entry, jackdawbridge.Omissions) {
+	decoded := make([]jackdawbridge.Entry, 0, len(list))
+	for _, p := range list {
+		var d decoder
+		e := d.entry(p)
+		if d.err == nil {
+			d.err = e.Check()
+		}
+		if d.err == nil {
+			decoded = append(decoded, e)
+			continue
+		}
+		removed := jackdawbridge.Tombstone(entryName(p)).WithRevision(p.GetRevision())
+		omitted = omitted.With(jackdawbridge.NewOmission(change, removed.Name(), d.err.Error())).AsPartial()
+		if since > 0 && removed.Check() == nil {
+			decoded = append(decoded, removed)
+		}
+	}
+	return decoded, omitted
+}
+
+// entryName returns the name of an entry whose value may be invalid, "" if it has none.
+func entryName(p *pb.Entry) string {
+	switch v := p.GetValue().(type) {
+	case *pb.Entry_Account:
+		return "account/" + v.Account.GetName()
+	case *pb.Entry_Service:
+		return "service/" + v.Service.GetName()
+	case *pb.Entry_Key:
+		return "key/" + hex.EncodeToString(v.Key.GetHash())
+	case *pb.Entry_Start:
+		return "slowstart/" + v.Start.GetService()
+	case *pb.Entry_Evacuated:
+		return "evacuation/" + v.Evacuated
+	case *pb.Entry_Tombstone:
+		return v.Tombstone
+	}
+	return ""
+}
+
 // holders returns the holder of each range. A number n > 0 means nodes[n-1], and 0 means
 // that the range has no holder.
 func (d *decoder) holders(nodes []jackdawbridge.Node, numbers []uint32) (holders [jackdawbridge.RangeCount]jackdawbridge.Node) {
@@ -228,12 +273,13 @@
 func (d *decoder) value(p *pb.Value) jackdawbridge.Value {
 	switch v := p.Value.(type) {
 	case *pb.Value_Table:
-		t, err := jackdawbridge.NewTable(v.Table.GetRevision(), v.Table.GetChange(), mapSlice(v.Table.GetEntries(), d.entry))
+		entries, omitted := entries(v.Table.GetEntries(), 0, v.Table.GetChange(), omissions(v.Table.GetOmitted()))
+		t, err := jackdawbridge.NewTable(v.Table.GetRevision(), v.Table.GetChange(), entries)
 		if err != nil {
 			d.fail(err)
 			return nil
 		}
-		return t.WithOmissions(omissions(v.Table.GetOmitted()))
+		return t.WithOmissions(omitted)
 	case *pb.Value_Ranges:
 		return d.ranges(v.Ranges)
 	case *pb.Value_Seed:
@@ -282,8 +328,9 @@
 	case *pb.Frame_Pull:
 		return jackdawbridge.NewPull(jackdawbridge.RecordName(m.Pull.GetName()), m.Pull.GetSince())
 	case *pb.Frame_Delta:
+		entries, omitted := entries(m.Delta.GetEntries(), m.Delta.GetSince(), m.Delta.GetChange(), omissions(m.Delta.GetOmitted()))
 		return jackdawbridge.NewTableDelta(jackdawbridge.RecordName(m.Delta.GetName()), m.Delta.GetSince(), m.Delta.GetRevision(),
-			m.Delta.GetChange(), mapSlice(m.Delta.GetEntries(), d.entry)).WithOmissions(omissions(m.Delta.GetOmitted()))
+			m.Delta.GetChange(), entries).WithOmissions(omitted)
 	case *pb.Frame_Snapshot:
 		return jackdawbridge.NewRangesUpdate(jackdawbridge.DataCentre(m.Snapshot.GetCentre()), m.Snapshot.GetVersion(), d.ranges(m.Snapshot.GetRanges()))
 	case *pb.Frame_Acknowledge:
