audit: check names the entries that nodes would not use

Seen: 'jackdawbridge check' accepted a questionnaire with a route of 17 methods, and 'apply' failed on it with the error of the store. A node that read such an entry would leave it out.

Change: Inspect applies Entry.Check to each entry and reports an error, which makes check fail. Test: testdata/processes/check, accepted before.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -54,10 +54,15 @@
 	*f = append(*f, NewFinding(Warning, entry, fmt.Sprintf(format, args...)))
 }
 
-// Inspect returns warnings about entries of the config table that can never match or whose
-// limits contradict each other.
+// Inspect returns errors for entries of the config table that nodes would not use, and warnings
+// about those that can never match or whose limits contradict each other.
 func Inspect(config []jackdawbridge.Entry) []Finding {
 	var found findings
+	for _, e := range config {
+		if err := e.Check(); err != nil {
+			found = append(found, NewFinding(Error, e.Name(), "nodes would not use the entry: "+err.Error()))
+		}
+	}
 	services, keyed := false, false
 	for _, e := range config {
 		if s := e.Service(); s != nil {
--- a/cmd/jackdawbridge/check.go
+++ b/cmd/jackdawbridge/check.go
@@ -43,11 +43,24 @@
 	if err := writeFindings(os.Stdout, found); err != nil {
 		return err
 	}
+	if invalid := countErrors(found); invalid > 0 {
+		return errors.Errorf("questionnaire %s rejected: %d errors", c.File, invalid)
+	}
 	fmt.Printf("%s: accepted: %d data centres, %d services, %d client accounts\n",
 		q.Deployment(), len(q.DataCentres()), len(q.Services()), len(q.Accounts()))
 	return nil
 }
 
+func countErrors(found []audit.Finding) int {
+	count := 0
+	for _, f := range found {
+		if f.Severity() == audit.Error {
+			count++
+		}
+	}
+	return count
+}
+
 // faultFindings returns the faults of a questionnaire as errors.
 func faultFindings(faults questionnaire.Faults) []audit.Finding {
 	found := make([]audit.Finding, len(faults))
