cmd/jackdawbridge: a document of nearly the largest size over real processes

150,000 keys in one document: in force at four nodes, and a key that the next version takes away is refused. Before the bounds changed the document was invalid (more than 65,536 entries).

--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -106,7 +106,15 @@
 	case "raw":
 		return f.raw(arg(d, "node"), arg(d, "listener"), d.Input)
 	case "operator": // writes an item of the operators
-		return "", f.writeItem(arg(d, "key"), d.Input)
+		value := d.Input
+		if count, _ := strconv.Atoi(arg(d, "keys")); count > 0 { // as a list of that many keys
+			keys := make([]string, count)
+			for i := range keys {
+				keys[i] = strconv.Quote(strconv.FormatInt(int64(i), 36))
+			}
+			value = strings.Replace(value, "KEYS", strings.Join(keys, ","), 1)
+		}
+		return "", f.writeItem(arg(d, "key"), value)
 	case "await-raw":
 		head, want, _ := strings.Cut(d.Input, "\nwant: ")
 		return f.poll("answer", func() (string, bool) {
