--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -127,6 +127,12 @@
 			lines := f.logged(arg(d, "process"), strings.TrimSpace(d.Input))
 			return strings.Join(lines, "\n"), len(lines) >= want
 		})
+	case "await-metric":
+		want := strings.TrimSpace(d.Input)
+		return f.poll("the metric", func() (string, bool) {
+			line, err := f.metric(arg(d, "node"), arg(d, "name"))
+			return line, err == nil && line == want
+		})
 	case "metric":
 		return f.metric(arg(d, "node"), arg(d, "name"))
 	case "load":
