reducer: the query is a part of the fingerprint of a request

Cause: the fingerprint lacked the query, so that other requests of the tenant to the path, which differ from it in their query, cleared the suspect each time that one of them was served.

Change: the query is hashed in, if there is one.

--- a/dialect.go
+++ b/dialect.go
@@ -67,9 +67,9 @@
 	header  http.Header // as forwarded to the backend server
 }
 
-// NewHead returns the head of a request.
+// NewHead returns the head of a request, and sets the query of the request.
 func NewHead(request *Request, rawPath, query string, header http.Header) Head {
-	return Head{request: request, rawPath: rawPath, query: query, header: header}
+	return Head{request: request.WithQuery(query), rawPath: rawPath, query: query, header: header}
 }
 
 // Request returns the parts of the request that decisions depend on.
--- a/identity.go
+++ b/identity.go
@@ -28,7 +28,7 @@
 type KeyHash [32]byte
 
 // Fingerprint is a hash that is equal for requests with the same account, method,
-// service, path and body.
+// service, path, query and body.
 type Fingerprint uint64
 
 // String returns f in hexadecimal digits.
--- a/reducer/backend_test.go
+++ b/reducer/backend_test.go
@@ -63,7 +63,7 @@
 			})
 			return
 		}
-		if strings.Contains(request.Path(), "poison") {
+		if strings.Contains(request.Path()+"?"+request.Query(), "poison") {
 			n.crash()
 			return
 		}
--- a/reducer/call.go
+++ b/reducer/call.go
@@ -189,12 +189,13 @@
 // admit applies the checks that may refuse or delay a request: quarantine,
 // admission level and the rate of its account.
 func (p *calls) admit(c *call) {
-	verdict := p.r.quarantine.check(p.fingerprint(c))
+	fingerprint := p.fingerprint(c)
+	verdict := p.r.quarantine.check(fingerprint)
 	if verdict == verdictRefuse {
 		p.refuse(c, jackdawbridge.NotRunRefusal(jackdawbridge.Quarantined))
 		return
 	}
-	c.envelope = c.envelope.WithFingerprint(p.fingerprint(c), verdict == verdictExclusive)
+	c.envelope = c.envelope.WithFingerprint(fingerprint, verdict == verdictExclusive)
 	if c.child {
 		p.start(c)
 		return
@@ -499,5 +500,8 @@
 	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(string(c.request.Service()))
 	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Path())
 	f = bits.RotateLeft64(f, 1) ^ c.request.BodyDigest()
+	if query := c.request.Query(); query != "" {
+		f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(query)
+	}
 	return jackdawbridge.Fingerprint(f)
 }
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -169,6 +169,8 @@
 		h.store.lostAnswers = intArg(d, "lose", 0)
 		h.store.extraDelay = jackdawbridge.Millis(intArg(d, "slow", 0))
 		h.store.failAfter = jackdawbridge.Millis(intArg(d, "hang", 0))
+	case "store-lapse":
+		h.store.lapse()
 	case "store-era":
 		h.store.era, h.store.keepCopies = uint64(intArg(d, "number", 1)), true
 	case "store-return":
@@ -356,7 +358,7 @@
 
 // scheduleCalls schedules the requests of a command:
 //
-//	call node=a id=r1 service=s path=/p [method=m] [key=k] [idempotency=key] [count=n every=ms] [budget=ms] [untied] [parent=id]
+//	call node=a id=r1 service=s path=/p [query=q] [method=m] [key=k] [idempotency=key] [count=n every=ms] [budget=ms] [untied] [parent=id]
 //
 // A request with "untied" or a parent may have been sent by the backend server of the
 // node on behalf of a request that it runs. The parent is the id of that request.
@@ -368,7 +370,7 @@
 	}
 	service, method, path := jackdawbridge.ServiceName(arg(d, "service", "")), arg(d, "method", "GET"), arg(d, "path", "/")
 	budget := jackdawbridge.Millis(intArg(d, "budget", 1000))
-	key, idempotency, parent := arg(d, "key", ""), arg(d, "idempotency", ""), arg(d, "parent", "")
+	key, idempotency, parent, query := arg(d, "key", ""), arg(d, "idempotency", ""), arg(d, "parent", ""), arg(d, "query", "")
 	untied := d.HasArg("untied") || parent != ""
 	for i := range count {
 		name := id
@@ -376,7 +378,7 @@
 			name += "-" + strconv.Itoa(i)
 		}
 		h.after(jackdawbridge.Millis(i)*every, func() {
-			request := jackdawbridge.NewRequest(jackdawbridge.RequestID(name), service, method, path, budget)
+			request := jackdawbridge.NewRequest(jackdawbridge.RequestID(name), service, method, path, budget).WithQuery(query)
 			if key != "" {
 				request.WithKey(keyHash(key))
 			}
--- a/reducer/store_test.go
+++ b/reducer/store_test.go
@@ -27,10 +27,11 @@
 	reads          int                      // including watches
 	watches        int
 	writes         int
-	calls          map[string]int // by verb and kind of record
-	era            uint64         // 0 for a store without eras
-	keepCopies     bool           // the store may come back from an older copy
-	copies         []storeCopy    // after each change, in order of time
+	calls          map[string]int                      // by verb and kind of record
+	era            uint64                              // 0 for a store without eras
+	keepCopies     bool                                // the store may come back from an older copy
+	copies         []storeCopy                         // after each change, in order of time
+	leased         map[jackdawbridge.RecordName]uint64 // versions of the records under a lease
 }
 
 // count counts a call. A write under a lease is two calls.
@@ -86,6 +87,13 @@
 		s.records[name] = jackdawbridge.NewRecord(name, version, value)
 	}
 	s.expire(name, version, lease)
+	delete(s.leased, name)
+	if lease > 0 {
+		if s.leased == nil {
+			s.leased = make(map[jackdawbridge.RecordName]uint64)
+		}
+		s.leased[name] = version
+	}
 	s.keepCopy(name, lease)
 	waiting := s.pendingWatches
 	s.pendingWatches = nil
@@ -272,6 +280,15 @@
 	})
 }
 
+// lapse ends all leases, as in an outage in which they run out.
+func (s *fakeStore) lapse() {
+	for _, name := range slices.Sorted(maps.Keys(s.leased)) {
+		if s.records[name].Version() == s.leased[name] {
+			s.put(name, nil, 0)
+		}
+	}
+}
+
 // cutOff cuts nodes off from the platform, or restores their connection.
 func (s *fakeStore) cutOff(names []string, on bool) {
 	if s.cut == nil {
--- a/request.go
+++ b/request.go
@@ -7,6 +7,7 @@
 	service        ServiceName
 	method         string
 	path           string
+	query          string
 	key            KeyHash   // zero without a key
 	hasKey         bool      // the request carries a key
 	token          Token     // zero without a token
@@ -29,6 +30,12 @@
 	return r
 }
 
+// WithQuery sets the raw query and returns r.
+func (r *Request) WithQuery(query string) *Request {
+	r.query = query
+	return r
+}
+
 // WithToken sets the backend server's token and returns r.
 func (r *Request) WithToken(token Token) *Request {
 	r.token = token
@@ -75,6 +82,9 @@
 // Path returns the path of r within its service.
 func (r *Request) Path() string { return r.path }
 
+// Query returns the raw query of r, without the question mark.
+func (r *Request) Query() string { return r.query }
+
 // Key returns the hash of the key of r, and whether r carries a key.
 func (r *Request) Key() (KeyHash, bool) { return r.key, r.hasKey }
 
