reducer: the record of a departure has no lease

Cause: the record that a new process of the node reads hung on a lease, and leases may run out in an outage. The new process took a missing record for proof that there was no departure.

Change: no lease; the record has the time of each departure, and a new process uses none that is over 240 s old.

--- a/backend_process.go
+++ b/backend_process.go
@@ -31,6 +31,7 @@
 type DepartedProcess struct {
 	process BackendProcess // with the number of the announcement of the departure, or of the last one before it
 	left    bool           // the process ends; otherwise it drains, which a later announcement may take back
+	at      Millis         // when the departure was recorded, 0 if unknown
 }
 
 // NewDepartedProcess returns the departure of a process that has left, or that drains.
@@ -38,6 +39,15 @@
 	return DepartedProcess{process: process, left: left}
 }
 
+// WithTime returns d as recorded at the given time.
+func (d DepartedProcess) WithTime(at Millis) DepartedProcess {
+	d.at = at
+	return d
+}
+
+// Time returns when the departure was recorded, 0 if unknown.
+func (d DepartedProcess) Time() Millis { return d.at }
+
 // Process returns the process and the announcement by which it departed.
 func (d DepartedProcess) Process() BackendProcess { return d.process }
 
--- a/reducer/departure.go
+++ b/reducer/departure.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// departureLease is how long the record of departures is kept, and for how long a
-	// departure is remembered. It is far above the time by which an announcement may be
-	// late.
-	departureLease = 120 * jackdawbridge.Second
+	// departureTime is for how long a departure is remembered. It is far above the time by
+	// which an announcement may be late.
+	departureTime = 120 * jackdawbridge.Second
+	// recordedTime is how old a departure in the record of an earlier process may be. The
+	// time of day may have stepped since, but by less than the difference to departureTime.
+	recordedTime = 2 * departureTime
 	// departureReadWait is how long a new process waits for the record before it
 	// believes an announcement that another one confirms.
 	departureReadWait = jackdawbridge.Second
@@ -35,7 +37,7 @@
 // restart of the node, so that a late announcement does not undo them:
 //
 //   - A departure is acknowledged only once the platform has a record of it, whether the
-//     node knows the backend server or not.
+//     node knows the backend server or not. The record has no lease.
 //   - A new process of the node believes that a backend server serves once it has read
 //     that record and found no departure of the backend server's process in it. While the
 //     platform does not answer, it believes a second announcement, and corrects that as soon
@@ -191,12 +193,12 @@
 	}
 	known := p.find(process)
 	if known != nil && !known.takenBack && (!left || known.Left()) {
-		known.until = p.r.now + departureLease
+		known.until = p.r.now + departureTime
 		return
 	}
 	p.add(departure{
-		DepartedProcess: jackdawbridge.NewDepartedProcess(process, left),
-		until:           p.r.now + departureLease, earlier: known != nil && known.earlier,
+		DepartedProcess: jackdawbridge.NewDepartedProcess(process, left).WithTime(p.r.now),
+		until:           p.r.now + departureTime, earlier: known != nil && known.earlier,
 	})
 	p.change++
 	p.callDue = p.r.now
@@ -299,10 +301,13 @@
 // process has learned of.
 func (p *departures) merge(recorded *jackdawbridge.Departures) {
 	for _, d := range recorded.List() {
+		if d.Time() > 0 && p.r.now-d.Time() >= recordedTime {
+			continue // no announcement is as late as that
+		}
 		if p.read || slices.ContainsFunc(p.list, func(own departure) bool { return own.Process().Backend() == d.Process().Backend() }) {
 			continue // this process knows the backend server better
 		}
-		p.list = slices.Insert(p.list, 0, departure{DepartedProcess: d, until: p.r.now + departureLease, earlier: true})
+		p.list = slices.Insert(p.list, 0, departure{DepartedProcess: d, until: p.r.now + departureTime, earlier: true})
 	}
 	if over := len(p.list) - jackdawbridge.MaxDepartures; over > 0 {
 		p.list = slices.Delete(p.list, 0, over)
@@ -388,5 +393,7 @@
 	}
 	p.swaps++
 	p.swapChange = p.change
-	p.r.fx.Swap(p.name(), p.version, p.value(), departureLease)
+	// Without a lease: leases may run out in an outage of the platform, and the acknowledgement
+	// binds also then. Records that are no longer of use are removed by departureCleaner.
+	p.r.fx.Swap(p.name(), p.version, p.value(), 0)
 }
--- a/reducer/eras.go
+++ b/reducer/eras.go
@@ -25,7 +25,7 @@
 	current  uint64               // highest era known, 0 if none or if the store has no eras; never falls
 	known    bool                 // the store has answered this process, or a peer has named an era
 	returned jackdawbridge.Millis // when the last return known was first noticed, 0 if none is known
-	informed bool                 // this process would know of a return within departureLease, by itself or from a peer
+	informed bool                 // this process would know of a return within departureTime, by itself or from a peer
 }
 
 func newEras(r *Reducer, firstStart bool) eras { return eras{r: r, informed: firstStart} }
@@ -101,11 +101,11 @@
 func (p *eras) absenceProvenAt() jackdawbridge.Millis {
 	switch {
 	case p.returned > 0:
-		return p.returned + departureLease
+		return p.returned + departureTime
 	case p.current == 0 || p.informed:
 		return 0
 	}
-	return p.r.started + departureLease
+	return p.r.started + departureTime
 }
 
 // lostUntil returns when lost becomes false at the latest. A process that no peer informs
@@ -113,9 +113,9 @@
 func (p *eras) lostUntil() jackdawbridge.Millis {
 	switch {
 	case p.returned > 0:
-		return p.returned + departureLease
+		return p.returned + departureTime
 	case p.current > firstEra:
-		return p.r.started + departureLease
+		return p.r.started + departureTime
 	}
 	return p.r.started + eraInformWait
 }
@@ -126,5 +126,5 @@
 	if p.returned > 0 {
 		since = max(p.r.now-p.returned, 1)
 	}
-	return jackdawbridge.NewEraDigest(p.current, p.informed || p.r.now-p.r.started >= departureLease, since)
+	return jackdawbridge.NewEraDigest(p.current, p.informed || p.r.now-p.r.started >= departureTime, since)
 }
--- a/reducer/eras_test.go
+++ b/reducer/eras_test.go
@@ -146,7 +146,7 @@
 		if f.h.store.era <= firstEra {
 			break // a process that no peer informs takes this for an era without a return
 		}
-		if f.h.now-at >= departureLease {
+		if f.h.now-at >= departureTime {
 			delete(f.departed, name)
 		} else if n := f.h.nodes[name]; n.up() && n.reducer.departures.serving != nil {
 			t.Fatalf("%d: %s serves by a late announcement, after the departure was acknowledged", f.h.now-harnessOrigin, name)
@@ -185,7 +185,7 @@
 		}
 	}
 	f.h.lastFaultChange = f.h.now
-	f.h.run(departureLease + 2*recoveryLimit) // a first record may wait for departureLease
+	f.h.run(departureTime + 2*recoveryLimit) // a first record may wait for departureTime
 	f.checkRecords(t)
 	if got := f.h.outdatedNode(); got != "" {
 		t.Fatalf("after recovery: %s", got)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -138,6 +138,7 @@
 	quarantine quarantine
 	drain      drain
 	departures departures
+	cleaner    departureCleaner
 	warmup     warmup
 	evacuation evacuation
 	eras       eras
@@ -170,6 +171,7 @@
 	r.quarantine = newQuarantine(r)
 	r.drain = newDrain(r, options.drain, options.stopLimit, options.gracePeriod)
 	r.departures = newDepartures(r, options.firstStart)
+	r.cleaner = newDepartureCleaner(r)
 	r.warmup = newWarmup(r)
 	r.evacuation = newEvacuation(r)
 	r.eras = newEras(r, options.firstStart)
@@ -219,7 +221,11 @@
 	case *jackdawbridge.TablesLoaded:
 		r.settings.tablesLoaded(e)
 	case *jackdawbridge.StoreScanned:
-		r.members.seedsScanned(e)
+		if e.Prefix() == jackdawbridge.DeparturesPrefix {
+			r.cleaner.scanned(e)
+		} else {
+			r.members.seedsScanned(e)
+		}
 	case *jackdawbridge.StoreSwapped:
 		r.swapped(e)
 	case *jackdawbridge.StopRequested:
@@ -244,6 +250,7 @@
 		r.quarantine.wake(),
 		r.drain.wake(),
 		r.departures.wake(),
+		r.cleaner.wake(),
 		r.warmup.wake(),
 		r.evacuation.wake(),
 	)
@@ -279,6 +286,7 @@
 	r.quarantine.tick()
 	r.drain.tick()
 	r.departures.tick()
+	r.cleaner.tick()
 	r.warmup.tick()
 }
 
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -411,5 +411,6 @@
 }
 
 func departedProcess(d *pb.Departure) jackdawbridge.DepartedProcess {
-	return jackdawbridge.NewDepartedProcess(jackdawbridge.NewBackendProcess(d.GetBackend(), d.GetGeneration(), d.GetSequence()), d.GetLeft())
+	return jackdawbridge.NewDepartedProcess(jackdawbridge.NewBackendProcess(d.GetBackend(), d.GetGeneration(), d.GetSequence()), d.GetLeft()).
+		WithTime(min(max(jackdawbridge.Millis(d.GetTime()), 0), math.MaxInt32*jackdawbridge.Second))
 }
--- a/wire/encode.go
+++ b/wire/encode.go
@@ -221,5 +221,5 @@
 
 func fromDepartedProcess(d jackdawbridge.DepartedProcess) *pb.Departure {
 	p := d.Process()
-	return &pb.Departure{Backend: p.Backend(), Generation: p.Generation(), Sequence: p.Sequence(), Left: d.Left()}
+	return &pb.Departure{Backend: p.Backend(), Generation: p.Generation(), Sequence: p.Sequence(), Left: d.Left(), Time: int64(d.Time())}
 }
