reducer: a table stays partial when other entries change

Seen by reading, then in testdata/omitted-partial: a node that cannot decode an entry refuses its requests as not run, until any other entry of the table changes; then as unknown (404 or 401).

Cause: the omissions of the changes replaced those of the table to which they were applied.

Change: they stay if the changes themselves are complete. Tables of the platform's document are always passed on as a whole and were not concerned.

--- a/reducer/table_gossip.go
+++ b/reducer/table_gossip.go
@@ -179,7 +179,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return table.WithOmissions(m.Omissions()), nil
+	omissions := m.Omissions()
+	if m.Since() > 0 && s.omissions.Partial() && !omissions.Partial() {
+		omissions = s.omissions // the entries that are missing here have not changed
+	}
+	return table.WithOmissions(omissions), nil
 }
 
 // confirm handles the digest in a peer's answer to a probe; sent is when the probe
