--- a/reducer/call.go
+++ b/reducer/call.go
@@ -2,10 +2,8 @@
 
 import (
 	"maps"
-	"math/bits"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/admission"
 	"github.com/jackdawbridge/jackdawbridge/heap"
@@ -492,16 +490,3 @@
 // for a request that it is running: the route is open and the call may come from that
 // server. Refusing the call would waste the work already done for that request.
 func (c *call) internal() bool { return c.request.MaybeInternal() && c.envelope.Account() == "" }
-
-// fingerprint returns a hash by which a repeated request is recognised.
-func (p *calls) fingerprint(c *call) jackdawbridge.Fingerprint {
-	f := xxhash.Sum64String(string(c.envelope.Account()))
-	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Method())
-	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(string(c.request.Service()))
-	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Path())
-	f = bits.RotateLeft64(f, 1) ^ c.request.BodyDigest()
-	if query := c.request.Query(); query != "" {
-		f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(query)
-	}
-	return jackdawbridge.Fingerprint(f)
-}
--- a/reducer/omission_test.go
+++ b/reducer/omission_test.go
@@ -26,7 +26,7 @@
 // that can use the entry.
 func (h *harness) putWhole() { h.putConfig(h.whole) }
 
-// republish publishes the configuration in force as a new version with the same omissions.
+// publishNext publishes the configuration in force as a new version with the same omissions.
 func (h *harness) publishNext(version string) {
 	table := h.published[jackdawbridge.ConfigTable]
 	omissions := jackdawbridge.Omissions{}
--- a/reducer/quarantine.go
+++ b/reducer/quarantine.go
@@ -1,8 +1,10 @@
 package reducer
 
 import (
+	"math/bits"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/jackdawbridge/jackdawbridge"
 	"github.com/jackdawbridge/jackdawbridge/heap"
 )
@@ -273,3 +275,16 @@
 		delete(p.suspects, f)
 	}
 }
+
+// fingerprint returns a hash by which a repeated request is recognised.
+func (p *calls) fingerprint(c *call) jackdawbridge.Fingerprint {
+	f := xxhash.Sum64String(string(c.envelope.Account()))
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Method())
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(string(c.request.Service()))
+	f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(c.request.Path())
+	f = bits.RotateLeft64(f, 1) ^ c.request.BodyDigest()
+	if query := c.request.Query(); query != "" {
+		f = bits.RotateLeft64(f, 1) ^ xxhash.Sum64String(query)
+	}
+	return jackdawbridge.Fingerprint(f)
+}
