review: a request that crashes upstreams comes again with another query

The query is part of the fingerprint by which such a request is known, so that each retry with another one counts as a new request.

--- a/review/drive3/crash.go
+++ b/review/drive3/crash.go
@@ -21,6 +21,10 @@
 	maxLateRetries = 3
 	// rollGap is the time between two machines of a restart in turn.
 	rollGap = 2 * time.Second
+	// resends is how often the request comes again where its query differs, and resendPause the
+	// time between.
+	resends     = 12
+	resendPause = 3 * time.Second
 	// clientKey is the key of the clients' tenant.
 	clientKey = "6wsjnbanfqasnmgkcuyj"
 )
@@ -38,7 +42,8 @@
 	crashed  []time.Time
 	entries  map[string]*machine // machines that took the attempts, by id
 
-	next    int // machine that gets the crashing request next
+	query   string // of the crashing request
+	next    int    // machine that gets the crashing request next
 	stop    chan struct{}
 	traffic sync.WaitGroup
 }
@@ -126,6 +131,29 @@
 	return c.judge(record), nil
 }
 
+// crashWithQueries sends a request that crashes each upstream that runs it again and again, with
+// the same path, caller and body, and with another query each time.
+func crashWithQueries(record *recorder, trouble bool) (int, error) {
+	f, err := newFleet(record, []string{"zona-uno", "zona-due"})
+	if err != nil {
+		return notRun, err
+	}
+	defer f.close()
+	c := &crashes{entries: make(map[string]*machine)}
+	if err := c.fleetWith(f); err != nil {
+		return notRun, err
+	}
+	time.Sleep(stableWindow + time.Second)
+	for i := range resends {
+		c.query = "?day=1"
+		if trouble {
+			c.query = fmt.Sprintf("?day=%d", i+1)
+		}
+		c.resend(f, 1, resendPause)
+	}
+	return c.judge(record), nil
+}
+
 // run runs the crashing request at an upstream.
 func (c *crashes) run(u *upstream, r *http.Request) (int, []byte, bool) {
 	id := r.Header.Get("Attempt-Id")
@@ -187,7 +215,7 @@
 // sendCrashing sends the crashing request to a machine.
 func (c *crashes) sendCrashing(m *machine) {
 	clients := newClient(m)
-	got := clients.sendAs(attempt{method: http.MethodGet, host: "balance.example", path: crashPath, key: clientKey, timeout: 3 * time.Second}, func(id string) {
+	got := clients.sendAs(attempt{method: http.MethodGet, host: "balance.example", path: crashPath + c.query, key: clientKey, timeout: 3 * time.Second}, func(id string) {
 		c.mu.Lock()
 		c.entries[id] = m
 		c.mu.Unlock()
--- a/review/drive3/main.go
+++ b/review/drive3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(record *recorder, trouble bool) (int, error){
 	"11": uploadAtStop,
 	"12": crashAfterRestarts,
+	"14": crashWithQueries,
 }
 
 func main() {
