node, link: a body of one byte more than is buffered is streamed

Cause: readStart read up to 65,537 bytes and took a body for buffered when it had seen its end. The HTTP library returns the end of a body with its last bytes, with a length and in chunks alike, so that a body of 65,537 bytes was buffered although the limit is 65,536. A link sends a buffered body without credit, and its receiver takes 65,536 bytes. Two constants in node and link, tied by a comment, stood for one bound.

Change: the bound is jackdawbridge.MaxBufferedBody, which is also the window of a link. A body with one byte more is streamed, wherever its end was learned. The pool of links streams a larger buffered body too, so that what a sender may build is always sent in a way that the receiver takes.

--- a/client/client.go
+++ b/client/client.go
@@ -35,10 +35,10 @@
 	// bufferSize is the size of a connection's read buffer and of its write buffer
 	// in bytes.
 	bufferSize = 4 << 10
-	// concurrentBodySize is the least length in bytes of a body that is sent while
+	// ConcurrentBodySize is the least length in bytes of a body that is sent while
 	// the answer is read, because a backend server may answer before it has read
 	// the whole body.
-	concurrentBodySize = 16 << 10
+	ConcurrentBodySize = 16 << 10
 	// shortIdlePeriod is how long the limit of the idle time stays reduced after the
 	// backend server has dropped an idle connection.
 	shortIdlePeriod = 30 * time.Second
@@ -381,7 +381,7 @@
 // run sends the request and reads the head of its answer. It discards answers to
 // other requests.
 func (x *exchange) run(match func(*http.Response) Match) (*http.Response, error) {
-	if x.request.Body != nil && (x.request.ContentLength < 0 || x.request.ContentLength >= concurrentBodySize) {
+	if x.request.Body != nil && (x.request.ContentLength < 0 || x.request.ContentLength >= ConcurrentBodySize) {
 		x.written = make(chan struct{})
 		x.upload = &upload{ReadCloser: x.request.Body, left: x.request.ContentLength}
 		x.request.Body = x.upload
--- a/cmd/jackdawbridge/script_test.go
+++ b/cmd/jackdawbridge/script_test.go
@@ -95,6 +95,8 @@
 		return "", f.pipelined.conn.Close()
 	case "upload":
 		return f.upload(d)
+	case "upload-bounds":
+		return f.uploadBounds(d)
 	case "uploads":
 		return f.uploads(d)
 	case "busy":
--- a/cmd/jackdawbridge/upload_test.go
+++ b/cmd/jackdawbridge/upload_test.go
@@ -17,6 +17,11 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/go-faster/errors"
+
+	"github.com/jackdawbridge/jackdawbridge"
+	"github.com/jackdawbridge/jackdawbridge/client"
+	"github.com/jackdawbridge/jackdawbridge/link"
+	"github.com/jackdawbridge/jackdawbridge/node"
 )
 
 // An upload sends the first part of its body at once and the rest in pieces, as over a slow
@@ -93,6 +98,39 @@
 	return text, nil
 }
 
+// bodyBounds are the sizes at which the code handles a body in another way, in bytes.
+func bodyBounds() []int {
+	bounds := []int{jackdawbridge.MaxBufferedBody, 2 * jackdawbridge.MaxBufferedBody, link.MaxChunk, client.ConcurrentBodySize, node.MaxAnswerPrefix}
+	for size := node.FirstBodyBuffer; size < jackdawbridge.MaxBufferedBody; size *= 2 {
+		bounds = append(bounds, size)
+	}
+	return bounds
+}
+
+// boundSlack is how far from a bound sizes are drawn.
+const boundSlack = 2
+
+// uploadBounds sends uploads of all sizes around the bounds of bodies, with a length and in
+// chunks, and returns the answers that were not those of the backend server.
+func (f *fleet) uploadBounds(d *datadriven.TestData) (string, error) {
+	var wrong []string
+	for _, bound := range bodyBounds() {
+		for size := bound - boundSlack; size <= bound+boundSlack; size++ {
+			for _, framing := range []string{"", "chunked"} {
+				args := append(slices.Clone(d.CmdArgs), datadriven.CmdArg{Key: "size", Vals: []string{strconv.Itoa(size)}}, datadriven.CmdArg{Key: framing})
+				got, err := f.upload(&datadriven.TestData{CmdArgs: args})
+				if err != nil {
+					return "", err
+				}
+				if !strings.HasPrefix(got, "200, ") || strings.Contains(got, "broken") {
+					wrong = append(wrong, fmt.Sprintf("%d bytes %s: %s", size, framing, got))
+				}
+			}
+		}
+	}
+	return strings.Join(wrong, "\n"), nil
+}
+
 // uploading is an upload on its own connection.
 type uploading struct {
 	conn           net.Conn
@@ -172,7 +210,8 @@
 }
 
 // uploads waits until a backend server has read count uploads since the last time and
-// counts them by what has arrived of their bodies.
+// counts them by what has arrived of their bodies. With odd, it counts only those that have
+// not arrived as sent.
 func (f *fleet) uploads(d *datadriven.TestData) (string, error) {
 	count, _ := strconv.Atoi(arg(d, "count"))
 	p := f.processes[arg(d, "process")]
@@ -204,6 +243,9 @@
 		if crc32.ChecksumIEEE(uploadBody(entry.Body)) == entry.Sum {
 			text = "beginning as sent, broken off"
 		}
+		if entry.Whole && d.HasArg("odd") && text != "other bytes than sent" {
+			continue
+		}
 		if entry.Whole {
 			text = strings.Replace(text, "beginning as sent, broken off", fmt.Sprintf("%d bytes as sent", entry.Body), 1)
 		}
--- a/forwarded_request.go
+++ b/forwarded_request.go
@@ -126,9 +126,14 @@
 // Body returns the body of the answer.
 func (a *Answer) Body() io.ReadCloser { return a.body }
 
+// MaxBufferedBody is the largest body of a request, in bytes, that an entry node buffers
+// in full and sends with the head. The node that receives it holds as much of a body that
+// it has not yet read, so nodes of different versions have to agree on it.
+const MaxBufferedBody = 64 << 10
+
 // Body is the body of a request. At most one of its fields is set.
 type Body struct {
-	buffered []byte    // sent together with the head
+	buffered []byte    // sent together with the head if it has at most MaxBufferedBody bytes
 	stream   io.Reader // read when the upstream's node requests the body
 }
 
@@ -148,7 +153,7 @@
 type LinkClient interface {
 	// Send sends a request and returns its answer. Cancelling the context aborts
 	// the request, also while the body of its answer is read. The error is a
-	// *LinkError.
+	// *LinkError. A buffered body above MaxBufferedBody is sent like a stream.
 	Send(ctx context.Context, to Peer, request ForwardedRequest, body Body) (*Answer, error)
 	// Withdraw asks the peers to refuse the requests in progress that are not yet
 	// running. Requests that have not been sent fail, and so do later ones.
--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -209,7 +209,7 @@
 		return nil, err
 	}
 	for rest := body.Buffered(); len(rest) > 0; {
-		n := min(len(rest), maxChunk)
+		n := min(len(rest), MaxChunk)
 		end := uint8(0)
 		if n == len(rest) {
 			end = flagEnd
@@ -335,10 +335,10 @@
 // runs in its own goroutine.
 func (r *outboundRequest) sendBody(stream io.Reader) {
 	defer r.conn.endUpload(r)
-	buffer := chunkBuffers.Get().(*[maxChunk]byte)
+	buffer := chunkBuffers.Get().(*[MaxChunk]byte)
 	defer chunkBuffers.Put(buffer)
 	for {
-		n, err := r.flow.reserve(maxChunk)
+		n, err := r.flow.reserve(MaxChunk)
 		if err == nil {
 			err = r.conn.out.awaitSpace(r.conn.closed)
 		}
@@ -362,7 +362,7 @@
 }
 
 // chunkBuffers recycles the buffers of sendBody.
-var chunkBuffers = sync.Pool{New: func() any { return new([maxChunk]byte) }}
+var chunkBuffers = sync.Pool{New: func() any { return new([MaxChunk]byte) }}
 
 // answerBody reads the body of an answer.
 type answerBody struct{ r *outboundRequest }
--- a/link/flow_test.go
+++ b/link/flow_test.go
@@ -10,7 +10,7 @@
 // multiple of the window in memory while nobody reads it, and against a mix-up of chunks
 // that are joined.
 func TestSmallChunks(t *testing.T) {
-	for _, size := range []int{1, 7, smallChunk - 1, smallChunk, maxChunk} {
+	for _, size := range []int{1, 7, smallChunk - 1, smallChunk, MaxChunk} {
 		f := newFlow(0, true)
 		var want []byte
 		for len(want)+size <= window {
--- a/link/link.go
+++ b/link/link.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/jackdawbridge/jackdawbridge"
 )
 
 const (
@@ -60,10 +62,10 @@
 	maxUnverified = 256
 
 	// window is the number of bytes of a body that may be sent before the receiver
-	// grants more. A buffered body is at most as large.
-	window = 64 << 10
-	// maxChunk bounds the bytes of a body in one frame.
-	maxChunk = 32 << 10
+	// grants more. A buffered body is sent without a grant.
+	window = jackdawbridge.MaxBufferedBody
+	// MaxChunk bounds the bytes of a body in one frame.
+	MaxChunk = 32 << 10
 	// smallChunk is the size in bytes below which received chunks are joined.
 	smallChunk = 1 << 10
 	// maxPayload bounds the payload of a frame in bytes. The listeners for callers
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -231,7 +231,7 @@
 // send sends a request and describes its outcome.
 func (f *fixture) send(ctx context.Context, to netip.AddrPort, path string, size int, streamed bool) string {
 	envelope := jackdawbridge.NewEnvelope(jackdawbridge.RequestID("r"+path), "acme", "annulli", jackdawbridge.High, 1000)
-	body := bytes.Repeat([]byte("0123456789"), size/10)
+	body := bytes.Repeat([]byte("0123456789"), size/10+1)[:size]
 	content := jackdawbridge.BufferedBody(body)
 	if streamed {
 		content = jackdawbridge.StreamedBody(slowReader{bytes.NewReader(body)})
@@ -254,6 +254,24 @@
 	return fmt.Sprintf("%d %s, %d bytes, same %t", reply.Status(), reply.Header().Get("X-Path"), len(got), bytes.Equal(got, body))
 }
 
+// sendBounds sends bodies around each bound, buffered and streamed, and returns those that the
+// handler has not returned as sent.
+func (f *fixture) sendBounds(path string) string {
+	var wrong []string
+	bounds := map[string]int{"chunk": MaxChunk, "two chunks": 2 * MaxChunk, "window": window, "two windows": 2 * window, "credit": window / 2, "": 1}
+	for name, bound := range bounds {
+		for size := max(bound-2, 0); size <= bound+2; size++ {
+			for _, streamed := range []bool{false, true} {
+				want := fmt.Sprintf("200 %s, %d bytes, same true", path, size)
+				if got := f.send(f.t.Context(), f.relay.address(), path, size, streamed); got != want {
+					wrong = append(wrong, fmt.Sprintf("%s%+d, streamed %t: %s", name, size-bound, streamed, got))
+				}
+			}
+		}
+	}
+	return strings.Join(wrong, "\n")
+}
+
 func failureText(err error) string {
 	var failure *jackdawbridge.LinkError
 	if !errors.As(err, &failure) {
@@ -366,6 +384,8 @@
 				opened := gometrics.GetOrRegisterCounter("link.opened", f.registry)
 				f.await("connections", func() bool { return opened.Count() >= least })
 				return fmt.Sprintf("bounded=%t", opened.Count() <= maxConnsPerPeer)
+			case "bounds": // sends bodies around each bound and shows those that were not returned as sent
+				return f.sendBounds(path)
 			default:
 				d.Fatalf(t, "unknown command %s", d.Cmd)
 			}
--- a/link/listener.go
+++ b/link/listener.go
@@ -386,7 +386,7 @@
 // The body ends with the part for which last is set.
 func (r *inboundRequest) Write(part []byte, last bool) error {
 	for {
-		n, err := r.flow.reserve(min(len(part), maxChunk))
+		n, err := r.flow.reserve(min(len(part), MaxChunk))
 		if err == nil {
 			err = r.serverConn.out.awaitSpace(r.ctx.Done())
 		}
--- a/link/pool.go
+++ b/link/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
@@ -67,6 +68,9 @@
 // is read from the connection as it arrives. Errors are of type *LinkError.
 func (p *Pool) Send(ctx context.Context, to jackdawbridge.Peer, request jackdawbridge.ForwardedRequest, body jackdawbridge.Body) (*jackdawbridge.Answer, error) {
 	address := to.Addresses().Link()
+	if len(body.Buffered()) > window {
+		body = jackdawbridge.StreamedBody(bytes.NewReader(body.Buffered()))
+	}
 	r, err := p.open(ctx, address, request, body)
 	if err != nil {
 		return nil, jackdawbridge.NewLinkError(err, false, errors.Is(err, syscall.ECONNREFUSED))
--- a/node/body.go
+++ b/node/body.go
@@ -22,11 +22,11 @@
 	errBodyEnded    = errors.New("request has ended before its body has been read")
 )
 
-// body is the body of a request. A small body is buffered in full and can be sent
-// more than once. Of a larger body only a prefix is buffered, and the rest can be
-// streamed once.
+// body is the body of a request. A body of up to jackdawbridge.MaxBufferedBody bytes is
+// buffered in full and can be sent more than once. Of a larger body only a prefix is
+// buffered, and the rest can be streamed once.
 type body struct {
-	prefix []byte
+	prefix []byte    // at most jackdawbridge.MaxBufferedBody bytes, one more if rest is set
 	rest   io.Reader // nil if prefix is the whole body
 	length int64     // in bytes, -1 if unknown
 
@@ -36,9 +36,9 @@
 	ended          bool // the request has ended, and no attempt can read
 }
 
-// readBody buffers the body of a request up to MaxBufferedBody bytes. The rest of
-// a larger body is read when it is forwarded. It fails with errBodyStopped if the context
-// stopped ends meanwhile.
+// readBody buffers the body of a request up to jackdawbridge.MaxBufferedBody bytes. The
+// rest of a larger body is read when it is forwarded. It fails with errBodyStopped if the
+// context stopped ends meanwhile.
 func readBody(stopped context.Context, w http.ResponseWriter, r *http.Request, limits Limits) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return &body{}, nil
@@ -52,9 +52,9 @@
 		rate: limits.minBodyRate, grace: limits.bodyGrace, remaining: limits.maxBodyBytes,
 	}
 	defer context.AfterFunc(stopped, limited.interrupt)()
-	size := int64(unknownBodyBuffer)
+	size := int64(FirstBodyBuffer)
 	if r.ContentLength >= 0 {
-		size = min(MaxBufferedBody, r.ContentLength) + 1 // one more byte, so that a read reaches the end
+		size = min(jackdawbridge.MaxBufferedBody, r.ContentLength) + 1 // one more byte, so that a read reaches the end
 	}
 	prefix, whole, err := readStart(limited, conn, size)
 	switch {
@@ -66,12 +66,14 @@
 	return &body{prefix: prefix, rest: limited, length: r.ContentLength}, nil
 }
 
-// unknownBodyBuffer is the first size of the buffer for a body of unknown length, in bytes.
-const unknownBodyBuffer = 2 << 10
+// FirstBodyBuffer is the first size of the buffer for a body of unknown length, in bytes. It
+// is doubled up to jackdawbridge.MaxBufferedBody.
+const FirstBodyBuffer = 2 << 10
 
-// readStart reads up to MaxBufferedBody+1 bytes into a buffer that has size bytes at first,
-// and charges the buffer to the read budget. It reports whether it has reached the end of
-// the body.
+// readStart reads up to one byte more than jackdawbridge.MaxBufferedBody into a buffer that
+// has size bytes at first, and charges the buffer to the read budget. It reports whether it
+// has read the whole body without that byte. The end may come with the last bytes or after
+// them.
 func readStart(from io.Reader, conn *boundedConn, size int64) (start []byte, whole bool, err error) {
 	if !conn.hold(size) {
 		return nil, false, errOverBudget
@@ -81,16 +83,16 @@
 		n, err := from.Read(buffer[got:])
 		got += n
 		switch {
+		case got > jackdawbridge.MaxBufferedBody && (err == nil || errors.Is(err, io.EOF)):
+			return buffer, false, nil
 		case errors.Is(err, io.EOF):
 			return buffer[:got], true, nil
 		case err != nil:
 			return nil, false, err
 		case got < len(buffer):
 			continue
-		case got > MaxBufferedBody:
-			return buffer, false, nil
 		}
-		larger := min(2*len(buffer), MaxBufferedBody+1)
+		larger := min(2*len(buffer), jackdawbridge.MaxBufferedBody+1)
 		if !conn.hold(int64(larger - len(buffer))) {
 			return nil, false, errOverBudget
 		}
@@ -240,6 +242,13 @@
 	return r.ended
 }
 
+// isAtEnd reports whether the body has been read to its end.
+func (r *minRateReader) isAtEnd() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.atEnd
+}
+
 // isInterrupted reports whether reads are interrupted.
 func (r *minRateReader) isInterrupted() bool {
 	r.mu.Lock()
@@ -249,6 +258,9 @@
 
 // Read reads from the body within the time that the minimum rate allows.
 func (r *minRateReader) Read(buffer []byte) (int, error) {
+	if r.isAtEnd() {
+		return 0, io.EOF
+	}
 	started := time.Now()
 	allowed := r.grace + time.Duration(r.total/r.rate)*time.Second - r.waited
 	if err := r.setDeadline(started.Add(allowed)); err != nil {
--- a/node/limits.go
+++ b/node/limits.go
@@ -2,11 +2,6 @@
 
 import "time"
 
-// MaxBufferedBody is the largest request body, in bytes, that is buffered in full
-// before admission and can be sent again with a retry. Of a larger body the first
-// MaxBufferedBody+1 bytes are buffered. The buffered bytes are hashed.
-const MaxBufferedBody = 64 << 10
-
 // Limits holds the sizes, rates and times that bound the requests and
 // connections of a Node, and the times of its shutdown.
 type Limits struct {
--- a/node/run.go
+++ b/node/run.go
@@ -12,10 +12,10 @@
 	"github.com/jackdawbridge/jackdawbridge/client"
 )
 
-// maxAnswerPrefix is how many bytes of a backend server's answer are read before
+// MaxAnswerPrefix is how many bytes of a backend server's answer are read before
 // any of it is sent to the entry node. If the answer breaks off within them, the
 // request can still be retried at another upstream.
-const maxAnswerPrefix = 32 << 10
+const MaxAnswerPrefix = 32 << 10
 
 // ServeInbound serves a request that an entry node has forwarded.
 func (n *Node) ServeInbound(ctx context.Context, in jackdawbridge.InboundRequest) {
@@ -216,10 +216,10 @@
 	return request, nil
 }
 
-// readPrefix reads the first maxAnswerPrefix bytes of an answer's body, or all of
+// readPrefix reads the first MaxAnswerPrefix bytes of an answer's body, or all of
 // a shorter body. It fails if the answer breaks off within them.
 func readPrefix(response *http.Response) (*backendAnswer, error) {
-	size := int64(maxAnswerPrefix)
+	size := int64(MaxAnswerPrefix)
 	if response.ContentLength >= 0 {
 		size = min(size, response.ContentLength+1) // one more byte, so that a read reaches the end
 	}
