link: an invalid frame of one request does not end the connection

Cause: both sides closed the connection for each error of a frame. A cancelled request counted towards the limit of the listener until its handler returned, while its sender began others, so that a crowd that left at once closed the connection too.

Change: only a lost framing ends a connection. A listener refuses a request that no handler has received as not run; one whose handler has begun is reset, with an unknown outcome, and so is the request of an invalid answer. Each is counted (link.rejected, link.aborted, link.broken) and logged with the request, the stream and the peer. What still arrives for an ended request is skipped without being buffered, and strays bounds it. A reset frees the place of a request at once; the handlers that still run are bounded on their own, and requests beyond are refused as not run. A head above the size of a frame is not sent.

--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -24,15 +24,18 @@
 	frames       atomic.Uint64 // received so far
 	unresponsive atomic.Bool   // nothing was received for avoidAfterMissed intervals
 
+	onClose func(c *clientConn)                   // called once, after the connection has been closed
+	onAbort func(r *outboundRequest, cause error) // called for each request that an invalid frame has ended
+
 	mu        sync.Mutex
 	requests  map[uint32]*outboundRequest // in progress, at most maxStreams
 	lastID    uint32                      // stream number of the newest request
+	strays    strays
 	liveness  liveness
-	timer     *time.Timer         // runs checkLiveness at the next ping interval or idle timeout
-	err       error               // why the connection ended
-	withdrawn bool                // no more requests are sent
-	onClose   func(c *clientConn) // called once, after the connection has been closed
-	closed    chan struct{}       // closed with the connection
+	timer     *time.Timer   // runs checkLiveness at the next ping interval or idle timeout
+	err       error         // why the connection ended
+	withdrawn bool          // no more requests are sent
+	closed    chan struct{} // closed with the connection
 }
 
 // liveness is the state of the ping check of a connection.
@@ -42,9 +45,9 @@
 	idle   bool   // no requests are in progress and the timer measures idleTimeout
 }
 
-func newClientConn(conn net.Conn, r *bufio.Reader, codec jackdawbridge.Codec, onClose func(*clientConn)) *clientConn {
+func newClientConn(conn net.Conn, r *bufio.Reader, codec jackdawbridge.Codec, onClose func(*clientConn), onAbort func(*outboundRequest, error)) *clientConn {
 	c := &clientConn{
-		conn: conn, reader: r, out: newWriteQueue(conn), codec: codec, onClose: onClose,
+		conn: conn, reader: r, out: newWriteQueue(conn), codec: codec, onClose: onClose, onAbort: onAbort,
 		requests: make(map[uint32]*outboundRequest), closed: make(chan struct{}),
 	}
 	c.liveness.idle = true
@@ -126,54 +129,45 @@
 		if err != nil {
 			return err
 		}
+		r := c.request(h.stream)
+		if r == nil && h.kind != kindPong {
+			if err := c.drop(h); err != nil {
+				return err
+			}
+			c.frames.Add(1)
+			continue
+		}
 		payload, err := readPayload(c.reader, h)
 		if err != nil {
 			return err
 		}
 		c.frames.Add(1)
-		if err := c.handleFrame(h, payload); err != nil {
-			return err
+		if h.kind == kindPong {
+			continue
+		}
+		if err := r.handleFrame(h, payload); err != nil && r.abort(err) {
+			c.onAbort(r, err)
 		}
 	}
 }
 
-// handleFrame processes one frame. It ignores frames for requests that have ended,
-// which the peer may have sent before it learned that they ended.
-func (c *clientConn) handleFrame(h frameHeader, payload []byte) error {
-	if h.kind == kindPong {
-		return nil
-	}
+// request returns a request in progress, or nil if there is none with this stream number.
+func (c *clientConn) request(stream uint32) *outboundRequest {
 	c.mu.Lock()
-	r := c.requests[h.stream]
+	defer c.mu.Unlock()
+	return c.requests[stream]
+}
+
+// drop skips a frame for a request that has ended, which the peer may have sent before it
+// learned of the end.
+func (c *clientConn) drop(h frameHeader) error {
+	c.mu.Lock()
+	err := c.strays.add(h)
 	c.mu.Unlock()
-	if r == nil {
-		return nil
-	}
-	switch h.kind {
-	case kindReply:
-		reply, err := c.codec.DecodeReply(payload)
-		if err != nil {
-			return errors.Errorf("link: invalid answer: %w", err)
-		}
-		r.setReply(reply)
-		if h.endsBody() {
-			return r.receive(nil, true)
-		}
-	case kindData:
-		return r.receive(payload, h.endsBody())
-	case kindCredit:
-		n, err := readCredit(payload)
-		if err != nil {
-			return err
-		}
-		r.flow.grant(n)
-	case kindReset:
-		c.remove(r)
-		r.fail(errReset)
-	default:
-		return errors.Errorf("%w: unexpected frame of kind %d", errProtocol, h.kind)
+	if err != nil {
+		return err
 	}
-	return nil
+	return discardPayload(c.reader, h)
 }
 
 // open starts a request: it queues the head, and the body if that is buffered.
@@ -182,7 +176,7 @@
 	if err != nil {
 		return nil, errors.Errorf("link: %w", err)
 	}
-	r := &outboundRequest{conn: c, replied: make(chan struct{})}
+	r := &outboundRequest{conn: c, request: request.Envelope().ID(), replied: make(chan struct{})}
 	flags := flagEnd
 	switch {
 	case body.Stream() != nil:
@@ -242,8 +236,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.answered = true
-	if !r.sending && c.requests[r.id] == r {
-		delete(c.requests, r.id)
+	if !r.sending {
+		c.removeLocked(r)
 	}
 }
 
@@ -256,8 +250,8 @@
 	}
 	r.sending = false
 	close(r.uploadEnded)
-	if r.answered && c.requests[r.id] == r {
-		delete(c.requests, r.id)
+	if r.answered {
+		c.removeLocked(r)
 	}
 }
 
@@ -265,10 +259,16 @@
 func (c *clientConn) remove(r *outboundRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.removeLocked(r)
+}
+
+// removeLocked is remove with c.mu held.
+func (c *clientConn) removeLocked(r *outboundRequest) bool {
 	if c.requests[r.id] != r {
 		return false
 	}
 	delete(c.requests, r.id)
+	c.strays.endRequest(r.flow)
 	return true
 }
 
@@ -276,6 +276,7 @@
 type outboundRequest struct {
 	conn          *clientConn
 	id            uint32
+	request       jackdawbridge.RequestID
 	offset        uint64 // where the request begins in the bytes written to the connection
 	flow          *flow
 	detachContext func() bool   // detaches the request from the caller's context
@@ -289,12 +290,48 @@
 	err     error
 }
 
-// setReply records the head of the answer and wakes the sender.
-func (r *outboundRequest) setReply(reply jackdawbridge.Reply) {
+// handleFrame processes one frame of the answer. It returns an error for a frame that the
+// request must not have.
+func (r *outboundRequest) handleFrame(h frameHeader, payload []byte) error {
+	switch h.kind {
+	case kindReply:
+		reply, err := r.conn.codec.DecodeReply(payload)
+		if err != nil {
+			return errors.Errorf("%w: %w", errProtocol, err)
+		}
+		if !r.setReply(reply) {
+			return errors.Errorf("%w: request has two answers", errProtocol)
+		}
+		if h.endsBody() {
+			return r.receive(nil, true)
+		}
+	case kindData:
+		return r.receive(payload, h.endsBody())
+	case kindCredit:
+		n, err := readCredit(payload)
+		if err != nil {
+			return err
+		}
+		r.flow.grant(n)
+	case kindReset:
+		r.conn.remove(r)
+		r.fail(errReset)
+	default:
+		return unexpectedFrame(h)
+	}
+	return nil
+}
+
+// setReply records the head of the answer and wakes the sender. It reports false if the
+// request has been answered or has failed before.
+func (r *outboundRequest) setReply(reply jackdawbridge.Reply) bool {
+	first := false
 	r.once.Do(func() {
+		first = true
 		r.reply = reply
 		close(r.replied)
 	})
+	return first
 }
 
 // fail ends the request and both of its bodies with err. It has no effect on what
@@ -310,12 +347,13 @@
 
 // receive adds a chunk to the answer's body.
 func (r *outboundRequest) receive(chunk []byte, end bool) error {
-	if end {
-		r.conn.endAnswer(r)
+	if err := r.flow.check(len(chunk)); err != nil {
+		return err
 	}
-	if !r.flow.receive(chunk, end) {
-		return errors.Errorf("%w: body data exceeds the window or follows the end of the body", errProtocol)
+	if end {
+		r.conn.endAnswer(r) // first: a reader that sees the end closes the answer
 	}
+	r.flow.receive(chunk, end)
 	return nil
 }
 
@@ -323,12 +361,14 @@
 func (r *outboundRequest) cancel() { r.abort(context.Canceled) }
 
 // abort fails the request with err and resets it at the peer if it is still in
-// progress.
-func (r *outboundRequest) abort(err error) {
-	if r.conn.remove(r) {
+// progress. It reports whether it was.
+func (r *outboundRequest) abort(err error) bool {
+	inProgress := r.conn.remove(r)
+	if inProgress {
 		_, _ = r.conn.out.enqueue(kindReset, 0, r.id, nil) // fails only if the connection is closed
 	}
 	r.fail(err)
+	return inProgress
 }
 
 // sendBody sends the body of a request from a stream as the peer grants credit. It
--- a/link/flow.go
+++ b/link/flow.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
 // flow is the flow control of a request's two bodies at one side of the
@@ -12,9 +14,9 @@
 	mu         sync.Mutex
 	changed    sync.Cond
 	chunks     [][]byte // received and not yet read
-	buffered   int      // bytes in chunks, at most window
+	buffered   int      // bytes in chunks, at most maxUnread
 	ended      bool     // the last chunk was received
-	uncredited int      // bytes read since credit was last granted
+	uncredited int      // bytes read and not yet granted again
 	requested  bool     // the peer has credit to start the body
 	credit     int      // bytes that may still be sent, at most window
 	err        error    // why both bodies ended early; nil while they are intact
@@ -39,17 +41,29 @@
 	}
 }
 
-// receive buffers a chunk of the peer's body. It reports false if the peer has
-// exceeded the window or has already ended the body. A chunk that arrives after the bodies
-// have ended early is dropped, so that they do not seem to go on or to end in order.
-func (f *flow) receive(chunk []byte, end bool) bool {
+// check returns an error if a chunk of the given size exceeds what the peer may send, or
+// follows the end of the body.
+func (f *flow) check(size int) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.err != nil {
-		return true
+	switch {
+	case f.err != nil:
+	case f.ended:
+		return errors.Errorf("%w: data after the end of the body", errProtocol)
+	case f.buffered+size > maxUnread:
+		return errors.Errorf("%w: %d bytes of a body are unread: want at most %d", errProtocol, f.buffered+size, maxUnread)
 	}
-	if f.ended || f.buffered+len(chunk) > window {
-		return false
+	return nil
+}
+
+// receive buffers a chunk of the peer's body, which must have passed check. A chunk that
+// arrives after the bodies have ended early is dropped, so that they do not seem to go on or
+// to end in order.
+func (f *flow) receive(chunk []byte, end bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return
 	}
 	if len(chunk) > 0 {
 		f.append(chunk)
@@ -57,7 +71,17 @@
 	}
 	f.ended = end
 	f.changed.Broadcast()
-	return true
+}
+
+// receivable returns how many bytes of its body the peer may still send without further
+// credit, and whether it has yet to end the body.
+func (f *flow) receivable() (bytes int, open bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended || !f.requested {
+		return 0, !f.ended
+	}
+	return max(window-f.buffered-f.uncredited, 0), true
 }
 
 // append adds a chunk to those that are not yet read. A small one is copied behind the one
@@ -103,7 +127,8 @@
 	f.buffered -= n
 	f.uncredited += n
 	if !f.ended && f.uncredited >= window/2 {
-		credit, f.uncredited = f.uncredited, 0
+		credit = min(f.uncredited, window)
+		f.uncredited -= credit
 	}
 	return n, credit, nil
 }
--- a/link/flow_test.go
+++ b/link/flow_test.go
@@ -19,9 +19,10 @@
 				chunk[i] = byte(len(want) + i*i)
 			}
 			want = append(want, chunk...)
-			if !f.receive(chunk, false) {
-				t.Fatalf("chunk of %d bytes refused with %d of %d bytes buffered", size, len(want)-size, window)
+			if err := f.check(size); err != nil {
+				t.Fatalf("chunk of %d bytes refused with %d of %d bytes buffered: %v", size, len(want)-size, window, err)
 			}
+			f.receive(chunk, false)
 		}
 		held := 0
 		for _, chunk := range f.chunks {
@@ -30,9 +31,10 @@
 		if held > 2*window || len(f.chunks) > window/smallChunk {
 			t.Errorf("chunks of %d bytes: %d bytes are held in %d slices for a window of %d, want at most twice the window in %d", size, held, len(f.chunks), window, window/smallChunk)
 		}
-		if !f.receive(nil, true) {
-			t.Fatal("end of the body refused")
+		if err := f.check(0); err != nil {
+			t.Fatalf("end of the body refused: %v", err)
 		}
+		f.receive(nil, true)
 		got := make([]byte, 0, len(want))
 		for buffer := make([]byte, 1000); ; {
 			n, _, err := f.readBody(buffer)
--- a/link/frame.go
+++ b/link/frame.go
@@ -34,7 +34,7 @@
 
 // frameHeader precedes the payload of each frame.
 type frameHeader struct {
-	size   int // of the payload, in bytes, at most maxPayload
+	size   int // of the payload, in bytes, at most MaxPayload
 	kind   kind
 	flags  uint8
 	stream uint32 // stream number of the request; 0 if the frame concerns the whole connection
@@ -43,6 +43,11 @@
 // endsBody reports whether the body ends with this frame.
 func (h frameHeader) endsBody() bool { return h.flags&flagEnd != 0 }
 
+// needsNoRequest reports whether a listener takes the frame without a request in progress.
+func (h frameHeader) needsNoRequest() bool {
+	return h.kind == kindRequest || h.kind == kindPing || h.kind == kindWithdraw
+}
+
 // append appends the encoded header to buffer.
 func (h frameHeader) append(buffer []byte) []byte {
 	buffer = binary.BigEndian.AppendUint32(buffer, uint32(h.size))
@@ -61,12 +66,20 @@
 		stream: binary.BigEndian.Uint32(data[6:]),
 	}
 	_, _ = r.Discard(headerSize) // cannot fail: Peek has buffered these bytes
-	if h.size > maxPayload {
+	if h.size > MaxPayload {
 		return h, errors.Errorf("%w: payload of %d bytes is too large", errProtocol, h.size)
 	}
 	return h, nil
 }
 
+// discardPayload skips the payload that follows the header h.
+func discardPayload(r *bufio.Reader, h frameHeader) error {
+	if _, err := r.Discard(h.size); err != nil {
+		return errors.Errorf("link: skip frame payload: %w", err)
+	}
+	return nil
+}
+
 // readPayload reads the payload that follows the header h.
 func readPayload(r *bufio.Reader, h frameHeader) ([]byte, error) {
 	if h.size == 0 {
@@ -79,13 +92,21 @@
 	return payload, nil
 }
 
+// creditSize is the size of the payload of a credit frame in bytes.
+const creditSize = 4
+
 // creditPayload returns the payload of a frame that grants n bytes.
 func creditPayload(n int) []byte { return binary.BigEndian.AppendUint32(nil, uint32(n)) }
 
+// unexpectedFrame returns the error for a frame that a request must not have.
+func unexpectedFrame(h frameHeader) error {
+	return errors.Errorf("%w: unexpected frame of kind %d", errProtocol, h.kind)
+}
+
 // readCredit returns how many bytes a credit frame grants.
 func readCredit(payload []byte) (int, error) {
-	if len(payload) != 4 {
-		return 0, errors.Errorf("%w: credit payload has %d bytes: want 4", errProtocol, len(payload))
+	if len(payload) != creditSize {
+		return 0, errors.Errorf("%w: credit payload has %d bytes: want %d", errProtocol, len(payload), creditSize)
 	}
 	n := binary.BigEndian.Uint32(payload)
 	if n > window {
--- a/link/link.go
+++ b/link/link.go
@@ -7,6 +7,10 @@
 // in which each side proves that it has a secret of the fleet. After that both
 // sides exchange frames. Each frame of a request carries the stream number that the
 // client has chosen for the request.
+//
+// A frame that a request must not have ends that request only: requests of many callers
+// share the connection. The connection ends if its framing is lost, or if the peer goes on
+// sending for requests that have ended, which strays bounds.
 package link
 
 import (
@@ -48,8 +52,12 @@
 	// newConnThreshold is the number of requests in progress on the least loaded
 	// connection at which another connection is opened.
 	newConnThreshold = 8
-	// maxStreams bounds the requests in progress on one connection.
+	// maxStreams bounds the requests that a client has in progress on one connection.
 	maxStreams = 4096
+	// maxHandlers bounds the handlers that run for one connection. It is above maxStreams
+	// because a handler may return long after its client has reset the request and has
+	// begun others.
+	maxHandlers = 2 * maxStreams
 	// maxIdleWorkers bounds the idle goroutines kept for further requests, with
 	// stacks of about 16 KB each. A busy backend server runs a few hundred requests,
 	// of which few begin in the same millisecond.
@@ -64,13 +72,15 @@
 	// window is the number of bytes of a body that may be sent before the receiver
 	// grants more. A buffered body is sent without a grant.
 	window = jackdawbridge.MaxBufferedBody
+	// maxUnread is the number of bytes of a body that a receiver holds. Nodes of earlier
+	// versions send a buffered body of up to window+1 bytes without a grant.
+	maxUnread = window + 1
 	// MaxChunk bounds the bytes of a body in one frame.
 	MaxChunk = 32 << 10
 	// smallChunk is the size in bytes below which received chunks are joined.
 	smallChunk = 1 << 10
-	// maxPayload bounds the payload of a frame in bytes. The listeners for callers
-	// limit the heads of requests to far less.
-	maxPayload = 2 << 20
+	// MaxPayload bounds the payload of a frame in bytes. A larger head is not sent.
+	MaxPayload = 2 << 20
 	// maxPending is the number of unwritten bytes of a connection at which senders
 	// of bodies wait.
 	maxPending = 256 << 10
@@ -79,10 +89,19 @@
 	readBufferSize = 8 << 10
 )
 
+// These fail to compile if a sender may send more than its receiver takes.
+const (
+	_ = uint(maxUnread - window)                 // body data without further credit
+	_ = uint(window - (window/2 - 1) - MaxChunk) // credit for what was read since the last one
+	_ = uint(MaxPayload - MaxChunk)
+	_ = uint(maxHandlers - maxStreams)
+)
+
 var (
 	errClosed       = errors.New("link: request or connection has ended")
 	errUnresponsive = errors.New("link: peer does not answer pings")
 	errProtocol     = errors.New("link: protocol violation")
+	errTooLarge     = errors.New("link: head is too large for a frame")
 	errTooMany      = errors.New("link: too many connections")
 	errReset        = errors.New("link: request reset by the peer")
 	errWithdrawn    = errors.New("link: node is stopping and sends no more requests")
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -136,11 +136,19 @@
 	relay     *relay
 	ended     chan struct{} // closed when Serve has returned
 	gate      chan struct{} // each handler of /hold answers after it has received a value
+	over      chan struct{} // closed at the end of the script
 	active    atomic.Int64  // requests that are being handled
 	cancelled chan string   // handlers that ended early: the request or its body was cancelled
 	read      chan string   // what handlers have read of bodies after their answers
+	raw       *rawPeer      // nil if the script has none
+	calls     sync.WaitGroup
+
+	mu   sync.Mutex
+	ends []string // of requests that were in progress
 }
 
+const fleetSecret = "the secret of the fleet"
+
 func newSealer(t *testing.T, secret string) Sealer {
 	sealer, err := wire.NewSealer(clock.New(), []byte(secret))
 	if err != nil {
@@ -150,10 +158,10 @@
 }
 
 func newFixture(t *testing.T, secret string) *fixture {
-	f := &fixture{t: t, registry: gometrics.NewRegistry(), ended: make(chan struct{}), gate: make(chan struct{}), cancelled: make(chan string, 128), read: make(chan string, 128)}
+	f := &fixture{t: t, registry: gometrics.NewRegistry(), ended: make(chan struct{}), gate: make(chan struct{}), over: make(chan struct{}), cancelled: make(chan string, 128), read: make(chan string, 128)}
 	discard := slog.New(slog.DiscardHandler)
 	var err error
-	f.listener, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), wire.Codec{}, newSealer(t, "the secret of the fleet"), f.registry, discard)
+	f.listener, err = Listen(netip.MustParseAddrPort("127.0.0.1:0"), wire.Codec{}, newSealer(t, fleetSecret), f.registry, discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -167,8 +175,10 @@
 }
 
 func (f *fixture) close() {
+	close(f.over)
 	_ = f.pool.Close()
 	_ = f.listener.Close()
+	f.raw.close()
 	f.relay.close()
 	<-f.ended
 }
@@ -204,6 +214,11 @@
 		_, _ = io.CopyN(io.Discard, in.Body(), 1000)
 		_ = in.Reply(reply, nil, true)
 	case "/nothing":
+	case "/linger": // goes on although the request has ended
+		select {
+		case <-f.gate:
+		case <-f.over:
+		}
 	case "/hold", "/unread-hold":
 		select {
 		case <-f.gate:
@@ -258,7 +273,7 @@
 // handler has not returned as sent.
 func (f *fixture) sendBounds(path string) string {
 	var wrong []string
-	bounds := map[string]int{"chunk": MaxChunk, "two chunks": 2 * MaxChunk, "window": window, "two windows": 2 * window, "credit": window / 2, "": 1}
+	bounds := map[string]int{"chunk": MaxChunk, "two chunks": 2 * MaxChunk, "window": window, "unread": maxUnread, "two windows": 2 * window, "credit": window / 2, "": 1}
 	for name, bound := range bounds {
 		for size := max(bound-2, 0); size <= bound+2; size++ {
 			for _, streamed := range []bool{false, true} {
@@ -303,9 +318,6 @@
 		defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 		var f *fixture
 		defer func() { f.close() }()
-		var inProgress sync.WaitGroup
-		var mu sync.Mutex
-		var ends []string
 		cancels := make(map[int]context.CancelFunc)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var path string
@@ -318,7 +330,7 @@
 			d.MaybeScanArgs(t, "count", &count)
 			switch d.Cmd {
 			case "start": // starts a pool, a relay and a listener
-				secret := "the secret of the fleet"
+				secret := fleetSecret
 				if d.HasArg("foreign") {
 					secret = "the secret of another fleet"
 				}
@@ -350,11 +362,11 @@
 				for i := range count {
 					ctx, cancel := context.WithCancel(t.Context())
 					cancels[i] = cancel
-					inProgress.Go(func() {
+					f.calls.Go(func() {
 						end := f.send(ctx, to, path, size, streamed)
-						mu.Lock()
-						defer mu.Unlock()
-						ends = append(ends, end)
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						f.ends = append(f.ends, end)
 					})
 				}
 				f.await("requests in progress", func() bool { return int(f.active.Load()) == count })
@@ -387,19 +399,15 @@
 			case "bounds": // sends bodies around each bound and shows those that were not returned as sent
 				return f.sendBounds(path)
 			default:
-				d.Fatalf(t, "unknown command %s", d.Cmd)
+				text, known := f.runRaw(t, d)
+				if !known {
+					d.Fatalf(t, "unknown command %s", d.Cmd)
+				}
+				return text
 			}
-			inProgress.Wait()
+			f.calls.Wait()
 			f.await("no request in progress", func() bool { return int(f.active.Load()) == 0 })
-			seen := make(map[string]int)
-			for _, end := range ends {
-				seen[end]++
-			}
-			ends = nil
-			for len(f.cancelled) > 0 {
-				seen["handler cancelled: "+<-f.cancelled]++
-			}
-			return showCounts(seen)
+			return f.takeEnds()
 		})
 	})
 }
--- a/link/listener.go
+++ b/link/listener.go
@@ -27,6 +27,8 @@
 	log      *slog.Logger
 	refused  gometrics.Counter            // connections that failed the handshake or exceeded a limit
 	invalid  gometrics.Counter            // connections closed because of an invalid frame
+	aborted  gometrics.Counter            // requests ended because of an invalid frame
+	rejected gometrics.Counter            // requests refused before a handler received them
 	handle   jackdawbridge.InboundHandler // set by Serve
 	workers  *pool.Workers
 	ctx      context.Context // cancelled when the listener is closed
@@ -41,7 +43,7 @@
 var _ jackdawbridge.LinkListener = (*Listener)(nil)
 
 // Listen opens a listener at address. Serve accepts its connections. It registers the
-// counters link.refused and link.invalid.
+// counters link.refused, link.invalid, link.aborted and link.rejected.
 func Listen(address netip.AddrPort, codec jackdawbridge.Codec, sealer Sealer, registry gometrics.Registry, log *slog.Logger) (*Listener, error) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
@@ -51,6 +53,7 @@
 		listener: listener, codec: codec, sealer: sealer, log: log,
 		refused: gometrics.GetOrRegisterCounter("link.refused", registry),
 		invalid: gometrics.GetOrRegisterCounter("link.invalid", registry),
+		aborted: gometrics.GetOrRegisterCounter("link.aborted", registry), rejected: gometrics.GetOrRegisterCounter("link.rejected", registry),
 		conns:   make(map[*serverConn]struct{}),
 		workers: pool.NewWorkers(maxIdleWorkers),
 	}
@@ -163,7 +166,9 @@
 	cancel   context.CancelFunc
 
 	mu       sync.Mutex
-	requests map[uint32]*inboundRequest // in progress, at most maxStreams; nil once the connection is closed
+	requests map[uint32]*inboundRequest // that have ended on neither side, at most maxHandlers; nil once the connection is closed
+	handlers int                        // running, at most maxHandlers
+	strays   strays
 }
 
 func newServerConn(l *Listener, conn net.Conn) *serverConn {
@@ -221,55 +226,87 @@
 		if err != nil {
 			return err
 		}
+		r := s.request(h.stream)
+		if r == nil && !h.needsNoRequest() {
+			if err := s.drop(h); err != nil {
+				return err
+			}
+			continue
+		}
 		payload, err := readPayload(s.reader, h)
 		if err != nil {
 			return err
 		}
-		if err := s.handleFrame(h, payload); err != nil {
+		if err := s.handleFrame(h, payload, r); err != nil {
 			return err
 		}
 	}
 }
 
-// handleFrame processes one frame. It ignores frames for requests that have ended,
-// which the peer may have sent before it learned that they ended.
-func (s *serverConn) handleFrame(h frameHeader, payload []byte) error {
-	switch h.kind {
-	case kindPing:
-		_, err := s.out.enqueue(kindPong, 0, 0, nil)
-		return err
-	case kindRequest:
-		return s.open(h, payload)
-	case kindWithdraw:
-		s.withdraw()
-		return nil
-	}
+// request returns a request in progress, or nil if there is none with this stream number.
+func (s *serverConn) request(stream uint32) *inboundRequest {
 	s.mu.Lock()
-	r := s.requests[h.stream]
+	defer s.mu.Unlock()
+	return s.requests[stream]
+}
+
+// drop skips a frame for a request that has ended, which the peer may have sent before it
+// learned of the end.
+func (s *serverConn) drop(h frameHeader) error {
+	s.mu.Lock()
+	err := s.strays.add(h)
 	s.mu.Unlock()
-	if r == nil {
-		return nil
+	if err != nil {
+		return err
 	}
-	switch h.kind {
-	case kindData:
-		if !r.flow.receive(payload, h.endsBody()) {
-			return errors.Errorf("%w: body data exceeds the window or follows the end of the body", errProtocol)
-		}
-	case kindCredit:
-		n, err := readCredit(payload)
-		if err != nil {
-			return err
-		}
-		r.flow.grant(n)
-	case kindReset:
-		r.cancel()
-		r.flow.fail(errReset)
+	return discardPayload(s.reader, h)
+}
+
+// handleFrame processes one frame. R is the request in progress with its stream number, nil
+// if there is none. An invalid frame ends r; errors are those of the connection.
+func (s *serverConn) handleFrame(h frameHeader, payload []byte, r *inboundRequest) error {
+	switch {
+	case h.kind == kindPing:
+		_, err := s.out.enqueue(kindPong, 0, 0, nil)
+		return err
+	case h.kind == kindWithdraw:
+		s.withdraw()
+	case r == nil:
+		return s.open(h, payload)
 	default:
-		return errors.Errorf("%w: unexpected frame of kind %d", errProtocol, h.kind)
+		if err := r.handleFrame(h, payload); err != nil {
+			s.abort(r, err)
+		}
 	}
 	return nil
 }
 
+// abort ends one request because of an invalid frame. Its handler has begun, so that it may
+// have run.
+func (s *serverConn) abort(r *inboundRequest, cause error) {
+	if !s.remove(r) {
+		return // has ended meanwhile
+	}
+	r.cancel()
+	r.flow.fail(cause)
+	_, _ = s.out.enqueue(kindReset, 0, r.id, nil) // fails only if the connection is closed
+	s.listener.aborted.Inc(1)
+	s.listener.log.Warn("link: request of a peer ended: invalid frame received", "request", string(r.forwardedRequest.Envelope().ID()),
+		"from", s.conn.RemoteAddr().String(), "stream", r.id, "error", cause)
+}
+
+// remove removes a request that has ended and reports whether it was in progress.
+func (s *serverConn) remove(r *inboundRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requests[r.id] != r {
+		return false
+	}
+	delete(s.requests, r.id)
+	s.strays.endRequest(r.flow)
+	return true
+}
+
 // withdraw reports to the handlers of all requests on the connection that the peer
 // withdraws them.
 func (s *serverConn) withdraw() {
@@ -280,33 +317,59 @@
 	}
 }
 
-// open registers a new request and starts its handler.
+// open registers a new request and starts its handler, or refuses the request.
 func (s *serverConn) open(h frameHeader, payload []byte) error {
 	forwardedRequest, err := s.listener.codec.DecodeForwardedRequest(payload)
 	if err != nil {
-		return errors.Errorf("%w: %w", errProtocol, err)
+		return s.reject(h.stream, jackdawbridge.BadInput, forwardedRequest, err)
 	}
 	r := &inboundRequest{serverConn: s, id: h.stream, forwardedRequest: forwardedRequest, empty: h.endsBody(), withdrawn: make(chan struct{})}
 	r.withdraw = sync.OnceFunc(func() { close(r.withdrawn) })
 	r.flow = newFlow(window, h.flags&flagAwaitCredit == 0)
+	if r.empty {
+		r.flow.receive(nil, true)
+	}
 	r.ctx, r.cancel = context.WithCancel(s.ctx)
 	s.mu.Lock()
-	_, duplicate := s.requests[r.id]
-	full := len(s.requests) >= maxStreams
-	if !duplicate && !full && s.requests != nil {
+	closed, full := s.requests == nil, s.handlers >= maxHandlers
+	if !closed && !full {
 		s.requests[r.id] = r
+		s.handlers++
 	}
 	s.mu.Unlock()
 	switch {
-	case duplicate:
-		return errors.Errorf("%w: request %d is already in progress", errProtocol, r.id)
+	case closed:
+		r.cancel()
+		return errClosed
 	case full:
-		return errors.Errorf("%w: more than %d requests in progress", errProtocol, maxStreams)
+		r.cancel()
+		return s.reject(h.stream, jackdawbridge.Overloaded, forwardedRequest, errors.Errorf("%w: more than %d requests in progress", errProtocol, maxHandlers))
 	}
 	s.listener.workers.Go(r.serve)
 	return nil
 }
 
+// reject refuses a request that no handler has received, so that it has certainly not run
+// and may be sent elsewhere. The head is zero if it cannot be decoded.
+func (s *serverConn) reject(stream uint32, reason jackdawbridge.Reason, head jackdawbridge.ForwardedRequest, cause error) error {
+	envelope := head.Envelope()
+	refused := jackdawbridge.RefusedReply(jackdawbridge.NotRunRefusal(reason), jackdawbridge.NewFeedback(0, envelope.RetryAllowance()))
+	payload, err := s.listener.codec.EncodeReply(refused)
+	if err != nil {
+		return errors.Errorf("link: %w", err)
+	}
+	if _, err := s.out.enqueue(kindReply, flagEnd, stream, payload); err != nil {
+		return err
+	}
+	s.listener.rejected.Inc(1)
+	s.listener.log.Warn("link: request of a peer refused", "request", string(envelope.ID()), "from", s.conn.RemoteAddr().String(),
+		"stream", stream, "reason", reason.String(), "error", cause)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.strays.endRequest(newFlow(0, true)) // the peer may send a buffered body
+	return nil
+}
+
 // inboundRequest is a request at the side that serves it.
 type inboundRequest struct {
 	serverConn       *serverConn
@@ -333,17 +396,45 @@
 // end releases the request after its handler has returned.
 func (r *inboundRequest) end() {
 	r.cancel()
-	reset := !r.complete || !r.empty && r.flow.awaited()
-	r.flow.fail(errClosed)
+	reset := !r.complete || r.flow.awaited()
 	s := r.serverConn
+	inProgress := s.remove(r)
+	r.flow.fail(errClosed)
 	s.mu.Lock()
-	delete(s.requests, r.id)
+	s.handlers--
 	s.mu.Unlock()
-	if reset {
+	if inProgress && reset {
 		_, _ = s.out.enqueue(kindReset, 0, r.id, nil) // fails only if the connection is closed
 	}
 }
 
+// handleFrame processes one frame of the request. It returns an error for a frame that the
+// request must not have.
+func (r *inboundRequest) handleFrame(h frameHeader, payload []byte) error {
+	switch h.kind {
+	case kindRequest:
+		return errors.Errorf("%w: another request has the same stream number", errProtocol)
+	case kindData:
+		if err := r.flow.check(len(payload)); err != nil {
+			return err
+		}
+		r.flow.receive(payload, h.endsBody())
+	case kindCredit:
+		n, err := readCredit(payload)
+		if err != nil {
+			return err
+		}
+		r.flow.grant(n)
+	case kindReset:
+		r.serverConn.remove(r)
+		r.cancel()
+		r.flow.fail(errReset)
+	default:
+		return unexpectedFrame(h)
+	}
+	return nil
+}
+
 // ForwardedRequest returns the head of the request.
 func (r *inboundRequest) ForwardedRequest() jackdawbridge.ForwardedRequest { return r.forwardedRequest }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -26,6 +26,7 @@
 	log    *slog.Logger
 	opened gometrics.Counter // connections opened
 	lost   gometrics.Counter // connections that failed or whose peer did not answer pings
+	broken gometrics.Counter // requests ended because of an invalid frame
 	ctx    context.Context   // cancelled when the pool is closed
 	cancel context.CancelFunc
 
@@ -51,13 +52,14 @@
 	err  error
 }
 
-// NewPool returns a pool without connections. It registers the counters link.opened
-// and link.lost.
+// NewPool returns a pool without connections. It registers the counters link.opened,
+// link.lost and link.broken.
 func NewPool(codec jackdawbridge.Codec, sealer Sealer, registry gometrics.Registry, log *slog.Logger) *Pool {
 	p := &Pool{
 		codec: codec, sealer: sealer, log: log, peers: make(map[netip.AddrPort]*peerConns),
 		opened: gometrics.GetOrRegisterCounter("link.opened", registry),
 		lost:   gometrics.GetOrRegisterCounter("link.lost", registry),
+		broken: gometrics.GetOrRegisterCounter("link.broken", registry),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.withdrawn, p.withdraw = context.WithCancel(p.ctx)
@@ -208,7 +210,8 @@
 		return
 	}
 	p.opened.Inc(1)
-	d.conn = newClientConn(socketConn, reader, p.codec, func(conn *clientConn) { p.removeConn(address, conn) })
+	d.conn = newClientConn(socketConn, reader, p.codec, func(conn *clientConn) { p.removeConn(address, conn) },
+		func(r *outboundRequest, cause error) { p.reportAbort(address, r, cause) })
 	peer.conns = append(peer.conns, d.conn)
 }
 
@@ -258,6 +261,12 @@
 	}
 }
 
+// reportAbort counts and logs a request that an invalid frame has ended.
+func (p *Pool) reportAbort(address netip.AddrPort, r *outboundRequest, cause error) {
+	p.broken.Inc(1)
+	p.log.Warn("link: request ended: invalid frame received from the peer", "request", string(r.request), "peer", address.String(), "stream", r.id, "error", cause)
+}
+
 // removeIfUnused removes a peer that has no connections and none being opened.
 func (p *Pool) removeIfUnused(address netip.AddrPort) {
 	if peer := p.peers[address]; peer != nil && len(peer.conns) == 0 && peer.pendingDial == nil {
--- a/link/write_queue.go
+++ b/link/write_queue.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // writeQueue writes the frames of a connection in the order in which they were
@@ -26,8 +28,12 @@
 }
 
 // enqueue queues a frame and returns the offset of its first byte among all bytes
-// queued since the connection was opened.
+// queued since the connection was opened. It returns errTooLarge for a payload that the peer
+// would not accept.
 func (q *writeQueue) enqueue(k kind, flags uint8, stream uint32, payload []byte) (start uint64, err error) {
+	if len(payload) > MaxPayload {
+		return 0, errors.Errorf("%w: %d bytes", errTooLarge, len(payload))
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.err != nil {
