link: a connection whose stream numbers are used up takes no further requests

Cause: the number of a request is 32 bits wide and began again at 0 after the last one. A request then got the number of one that was still in progress, and neither side could tell the two apart.

Evidence: link script exhausted lost one of two requests before.

--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -62,7 +63,7 @@
 func (c *clientConn) load() (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.requests), c.err == nil && len(c.requests) < maxStreams && !c.unresponsive.Load()
+	return len(c.requests), c.err == nil && len(c.requests) < maxStreams && c.lastID < math.MaxUint32 && !c.unresponsive.Load()
 }
 
 // checkLiveness runs each time the timer expires. It closes a connection that was
@@ -197,6 +198,9 @@
 	if c.withdrawn {
 		return nil, errWithdrawn
 	}
+	if c.lastID == math.MaxUint32 {
+		return nil, errExhausted
+	}
 	c.lastID++
 	r.id = c.lastID
 	if r.offset, err = c.out.enqueue(kindRequest, flags, r.id, head); err != nil {
--- a/link/link.go
+++ b/link/link.go
@@ -102,6 +102,7 @@
 	errUnresponsive = errors.New("link: peer does not answer pings")
 	errProtocol     = errors.New("link: protocol violation")
 	errTooLarge     = errors.New("link: head is too large for a frame")
+	errExhausted    = errors.New("link: connection has no more stream numbers")
 	errTooMany      = errors.New("link: too many connections")
 	errReset        = errors.New("link: request reset by the peer")
 	errWithdrawn    = errors.New("link: node is stopping and sends no more requests")
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -385,6 +386,13 @@
 				}
 			case "withdraw":
 				f.pool.Withdraw()
+			case "exhaust": // leaves the connections without stream numbers
+				for _, c := range f.pool.conns() {
+					c.mu.Lock()
+					c.lastID = math.MaxUint32
+					c.mu.Unlock()
+				}
+				return ""
 			case "silence":
 				f.relay.silence(d.HasArg("on"))
 				return ""
