wire: an invalid rumor does not withhold the others of its frame

Cause: a frame with one rumor that this version does not know, such as a state of a later version, was refused as a whole. With it went the probe or its answer, the other seven rumors, and the list of members that a new node gets: a few nodes of a later version would have made the older ones take each other for lost.

Change: rumors are decoded each on its own. An invalid one is left out, counted (gossip.omitted, rpc.omitted) and logged with the sender of the frame.

Two expectations of wire/testdata/frame said that such a frame is refused, which was the fault; they show now how many rumors are left, among valid ones too. FuzzFrame compares frames without the count, which is not encoded.

Evidence: wire TestCodec/frame; before, the three frames were refused.

--- a/check.go
+++ b/check.go
@@ -113,6 +113,14 @@
 	return c.err
 }
 
+// Check returns an error if a field of r has an invalid value.
+func (r Rumor) Check() error {
+	var c validator
+	c.requireNoError(r.peer.Check(), "member")
+	c.require(r.liveness <= Dead, "liveness %d is unknown", r.liveness)
+	return c.err
+}
+
 // Check returns an error if a field of e has an invalid value.
 func (e Envelope) Check() error {
 	var c validator
@@ -270,8 +278,7 @@
 		if c.err != nil {
 			return
 		}
-		c.requireNoError(r.peer.Check(), "rumor")
-		c.require(r.liveness <= Dead, "liveness %d is unknown", r.liveness)
+		c.requireNoError(r.Check(), "rumor")
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -81,6 +81,7 @@
 	from    Peer
 	digest  Digest
 	message Message
+	omitted int // rumors of the message that could not be decoded and were left out
 }
 
 // NewFrame returns a frame.
@@ -88,6 +89,16 @@
 	return Frame{from: from, digest: digest, message: message}
 }
 
+// WithOmitted returns f with the number of rumors that were left out when it was decoded.
+func (f Frame) WithOmitted(omitted int) Frame {
+	f.omitted = omitted
+	return f
+}
+
+// Omitted returns the number of rumors that were left out when f was decoded, because they
+// are not valid for this version of the program. It is not encoded.
+func (f Frame) Omitted() int { return f.omitted }
+
 // From returns the sender's description of itself.
 func (f Frame) From() Peer { return f.from }
 
--- a/transport/receiver.go
+++ b/transport/receiver.go
@@ -28,15 +28,17 @@
 	registry metrics.Registry
 	log      *slog.Logger
 	received metrics.Counter
+	omitted  metrics.Counter           // rumors left out of received frames
 	handle   func(jackdawbridge.Frame) // must not block
 }
 
 // NewReceiver returns a receiver that calls handle for each valid frame. It registers
-// the counters NAME.received and NAME.refused.REASON.
+// the counters NAME.received, NAME.omitted and NAME.refused.REASON.
 func NewReceiver(name string, codec jackdawbridge.Codec, sealer *wire.Sealer, registry metrics.Registry, log *slog.Logger, handle func(jackdawbridge.Frame)) *Receiver {
 	return &Receiver{
 		name: name, codec: codec, sealer: sealer, registry: registry, log: log, handle: handle,
 		received: metrics.GetOrRegisterCounter(name+".received", registry),
+		omitted:  metrics.GetOrRegisterCounter(name+".omitted", registry),
 	}
 }
 
@@ -54,6 +56,10 @@
 		return false
 	}
 	r.received.Inc(1)
+	if n := frame.Omitted(); n > 0 {
+		r.omitted.Inc(int64(n))
+		r.log.Warn(r.name+": part of a frame left out: it has invalid rumors", "from", frame.From().Node().String(), "rumors", n)
+	}
 	r.handle(frame)
 	return true
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -33,14 +33,15 @@
 	return data, nil
 }
 
-// DecodeFrame decodes a frame. It returns an error if the frame is not valid.
+// DecodeFrame decodes a frame. It returns an error if the frame is not valid, except for a
+// rumor: it is left out, so that the message and the other rumors take effect.
 func (Codec) DecodeFrame(data []byte) (jackdawbridge.Frame, error) {
 	var f pb.Frame
 	if err := f.UnmarshalVT(data); err != nil {
 		return jackdawbridge.Frame{}, errors.Errorf("decode frame: %w", err)
 	}
 	var d decoder
-	frame := jackdawbridge.NewFrame(d.peer(f.From), d.digest(f.Digest), d.message(&f))
+	frame := jackdawbridge.NewFrame(d.peer(f.From), d.digest(f.Digest), d.message(&f)).WithOmitted(d.omitted)
 	if d.err == nil {
 		d.err = frame.Check()
 	}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -98,6 +98,9 @@
 				d.Fatalf(t, "%v", err)
 			}
 			left := takeOmitted(want, got)
+			if f, ok := value.(jackdawbridge.Frame); ok && f.Omitted() > 0 {
+				left = takeRumors(want, got)
+			}
 			if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" {
 				return diff
 			}
@@ -131,6 +134,26 @@
 	return strings.Join(lines, "\n")
 }
 
+// takeRumors removes the rumors from both frames and returns how many were left.
+func takeRumors(want, got proto.Message) string {
+	wanted, left := rumorsOf(want), rumorsOf(got)
+	text := fmt.Sprintf("%d of %d rumors", len(*left), len(*wanted))
+	*wanted, *left = nil, nil
+	return text
+}
+
+// rumorsOf returns where a frame holds its rumors.
+func rumorsOf(m proto.Message) *[]*pb.Rumor {
+	f := m.(*pb.Frame)
+	switch {
+	case f.GetProbe() != nil:
+		return &f.GetProbe().Rumors
+	case f.GetAck() != nil:
+		return &f.GetAck().Rumors
+	}
+	return &f.GetMembers().Rumors
+}
+
 // tableOf returns the entries of a message with a table, and where it holds them and the
 // omissions.
 func tableOf(m proto.Message) (list []*pb.Entry, entries *[]*pb.Entry, omitted **pb.Omitted) {
@@ -185,6 +208,9 @@
 	if err != nil {
 		t.Fatalf("cannot decode an encoded value: %v", err)
 	}
+	if f, ok := value.(jackdawbridge.Frame); ok {
+		value = f.WithOmitted(0) // not encoded
+	}
 	if diff := cmp.Diff(value, other, equal); diff != "" {
 		t.Fatal(diff)
 	}
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -13,7 +13,10 @@
 
 // decoder converts protobuf messages to the types of the root package. It keeps the
 // first error; the values that it returns after an error must not be used.
-type decoder struct{ err error }
+type decoder struct {
+	err     error
+	omitted int // rumors that were left out
+}
 
 // fail records err unless an earlier error is recorded.
 func (d *decoder) fail(err error) {
@@ -83,6 +86,22 @@
 	return jackdawbridge.NewRumor(d.peer(p.GetPeer()), enum[jackdawbridge.Liveness](d, p.GetSuspicion()))
 }
 
+// rumors decodes rumors. An invalid one may come from another version of this program. It is
+// left out and counted.
+func (d *decoder) rumors(list []*pb.Rumor) []jackdawbridge.Rumor {
+	rumors := make([]jackdawbridge.Rumor, 0, len(list))
+	for _, p := range list {
+		var each decoder
+		rumor := each.rumor(p)
+		if each.err != nil || rumor.Check() != nil {
+			d.omitted++
+			continue
+		}
+		rumors = append(rumors, rumor)
+	}
+	return rumors
+}
+
 func (d *decoder) account(p *pb.Account) *jackdawbridge.Account {
 	shares := mapSlice(p.GetShares(), func(s *pb.Share) jackdawbridge.Share {
 		share, err := jackdawbridge.NewShare(jackdawbridge.DataCentre(s.GetCentre()), int(s.GetPermille()))
@@ -293,7 +312,7 @@
 
 // members decodes a request for members or the list that answers it.
 func (d *decoder) members(m *pb.Members) jackdawbridge.Message {
-	rumors := mapSlice(m.GetRumors(), d.rumor)
+	rumors := d.rumors(m.GetRumors())
 	services := mapSlice(m.GetServices(), func(s string) jackdawbridge.ServiceName { return jackdawbridge.ServiceName(s) })
 	if m.GetRequest() {
 		if len(rumors) > 0 {
@@ -314,9 +333,9 @@
 func (d *decoder) message(f *pb.Frame) jackdawbridge.Message {
 	switch m := f.Message.(type) {
 	case *pb.Frame_Probe:
-		return jackdawbridge.NewProbe(m.Probe.GetSequence(), mapSlice(m.Probe.GetRumors(), d.rumor))
+		return jackdawbridge.NewProbe(m.Probe.GetSequence(), d.rumors(m.Probe.GetRumors()))
 	case *pb.Frame_Ack:
-		return jackdawbridge.NewProbeAck(m.Ack.GetSequence(), mapSlice(m.Ack.GetRumors(), d.rumor))
+		return jackdawbridge.NewProbeAck(m.Ack.GetSequence(), d.rumors(m.Ack.GetRumors()))
 	case *pb.Frame_Via:
 		return jackdawbridge.NewIndirectProbe(m.Via.GetSequence(), d.peer(m.Via.GetTarget()))
 	case *pb.Frame_Members:
