check, wire, node: what an encoder accepts, its decoder accepts

Cause: the limits on messages between processes were partly checked at one end only. A request for members that named more than 32 services was encoded, and refused by its receiver; the limit on header fields stood in the codec, and the entry node learned of it from each upstream in turn.

Change: all these limits are checked by the root package, at both ends. A request with too many header fields is refused as bad input by its entry node. Constant expressions compare the limits that depend on each other: the largest head that a listener may be set to accept fits a frame of a link. The limits are exported, so that tests draw values around them.

--- a/check.go
+++ b/check.go
@@ -1,6 +1,7 @@
 package jackdawbridge
 
 import (
+	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -13,29 +14,40 @@
 // exhausting the memory of its receivers. What operators may configure is bounded by the
 // size of a stored value, so that the limits on it only exclude what no request can use.
 const (
-	maxNameBytes         = 1024    // bytes of a name, id or label
+	MaxNameBytes         = 1024    // bytes of a name, id or label
 	maxPrefixBytes       = 1 << 20 // bytes of a route's prefix; the largest request header that a node can be set to accept
-	maxPiggybackedRumors = 8       // of a probe or its answer
-	maxMembers           = 16384   // of a Members message; more than the nodes of the target fleet
-	maxFingerprints      = 16384   // of a CrashReport; as many as the calls that a node holds at once
+	MaxPiggybackedRumors = 8       // of a probe or its answer
+	MaxMembers           = 16384   // of a Members message; more than the nodes of the target fleet
+	MaxFingerprints      = 16384   // of a CrashReport; as many as the calls that a node holds at once
 	maxEntries           = 1 << 18 // of a table; more than a stored record of 1 MB has
 	maxShares            = 64      // of an account
 	maxRoutes            = 1 << 16 // of a service; a stored value has no room for more
 	maxMethods           = 16      // of a route
 	maxDestinations      = 1 << 16 // of a route; a stored value has no room for more
 	maxWitnesses         = 5       // of a range record
-	maxShards            = 65536   // of an account in a data centre
-	maxTokens            = 1 << 40 // sums of tokens and of thousandths of a token stay far from overflow
-	maxCapacity          = 1 << 20 // slots or connections of a backend server
-	maxRetryAllowance    = 64      // retries; more than any budget that an entry node sets
-	maxBodyBytes         = 1 << 40 // bytes; each node may set a smaller maximum for its listeners
-	maxDuration          = Millis(366 * 24 * 3600 * 1000)
-	maxTime              = Millis(1 << 50) // far beyond any real date; adding a duration cannot overflow
+	MaxShards            = 65536   // of an account in a data centre
+	MaxTokens            = 1 << 40 // sums of tokens and of thousandths of a token stay far from overflow
+	MaxCapacity          = 1 << 20 // slots or connections of a backend server
+	MaxRetryAllowance    = 64      // retries; more than any budget that an entry node sets
+	MaxBodyBytes         = 1 << 40 // bytes; each node may set a smaller maximum for its listeners
+	MaxDuration          = Millis(366 * 24 * 3600 * 1000)
+	MaxTime              = Millis(1 << 50) // far beyond any real date; adding a duration cannot overflow
 )
 
+// MaxHeaderFields bounds the fields of the header of a request or an answer, of which each
+// value counts. A head of 32 KB, the default limit of the listeners for callers, has less.
+const MaxHeaderFields = 16 << 10
+
 // MaxWeight is the largest weight of a destination. Sums of weights stay far from overflow.
 const MaxWeight = 1 << 30
 
+// CheckHeader returns an error if a header has more fields than a node forwards.
+func CheckHeader(header http.Header) error {
+	var c validator
+	c.header(header)
+	return c.err
+}
+
 // CheckName returns an error if name cannot be that of an account, a service or a host.
 func CheckName(name string) error {
 	var c validator
@@ -73,7 +85,7 @@
 }
 
 func (c *validator) optionalName(name, what string) {
-	c.require(len(name) <= maxNameBytes, "%s has %d bytes: want at most %d", what, len(name), maxNameBytes)
+	c.require(len(name) <= MaxNameBytes, "%s has %d bytes: want at most %d", what, len(name), MaxNameBytes)
 	c.require(!strings.ContainsFunc(name, unicode.IsControl), "%s has control characters", what)
 }
 
@@ -86,6 +98,14 @@
 	c.require(len(prefix) <= maxPrefixBytes, "prefix has %d bytes: want at most %d", len(prefix), maxPrefixBytes)
 }
 
+func (c *validator) header(header http.Header) {
+	fields := 0
+	for _, values := range header {
+		fields += len(values)
+	}
+	c.require(fields <= MaxHeaderFields, "header has %d fields: want at most %d", fields, MaxHeaderFields)
+}
+
 func (c *validator) node(n Node, what string) { c.name(string(n.instance), what) }
 
 func (c *validator) address(a netip.AddrPort, what string) {
@@ -107,8 +127,8 @@
 	if p.service != "" {
 		minimum = 1
 	}
-	c.requireRange(int64(p.slots), minimum, maxCapacity, "slots")
-	c.requireRange(int64(p.conns), minimum, maxCapacity, "connections")
+	c.requireRange(int64(p.slots), minimum, MaxCapacity, "slots")
+	c.requireRange(int64(p.conns), minimum, MaxCapacity, "connections")
 	c.require(p.state <= PeerLeft, "state %d is unknown", p.state)
 	return c.err
 }
@@ -128,12 +148,12 @@
 	c.optionalName(string(e.account), "account")
 	c.name(string(e.service), "service")
 	c.require(e.criticality <= Critical, "criticality %d is unknown", e.criticality)
-	c.requireRange(int64(e.budget), 1, int64(maxDuration), "budget")
-	c.requireRange(int64(e.retryAllowance), 0, maxRetryAllowance, "retry allowance")
+	c.requireRange(int64(e.budget), 1, int64(MaxDuration), "budget")
+	c.requireRange(int64(e.retryAllowance), 0, MaxRetryAllowance, "retry allowance")
 	c.requireRange(int64(e.depth), 0, MaxDepth, "depth")
-	c.requireRange(int64(e.objective), 0, int64(maxDuration), "objective")
+	c.requireRange(int64(e.objective), 0, int64(MaxDuration), "objective")
 	c.optionalName(string(e.sender.instance), "sender")
-	c.requireRange(int64(e.sent), 0, int64(maxTime), "sending time")
+	c.requireRange(int64(e.sent), 0, int64(MaxTime), "sending time")
 	return c.err
 }
 
@@ -143,7 +163,8 @@
 	c.requireNoError(f.envelope.Check(), "envelope")
 	c.name(f.method, "method")
 	c.require(strings.HasPrefix(f.path, "/"), "path %q has no leading slash", f.path)
-	c.requireRange(f.length, -1, maxBodyBytes, "length of the body")
+	c.requireRange(f.length, -1, MaxBodyBytes, "length of the body")
+	c.header(f.header)
 	return c.err
 }
 
@@ -155,17 +176,18 @@
 	} else {
 		c.requireRange(int64(r.status), 100, 599, "status")
 	}
-	c.requireRange(r.length, -1, maxBodyBytes, "length of the body")
+	c.requireRange(r.length, -1, MaxBodyBytes, "length of the body")
+	c.header(r.header)
 	c.feedback(r.feedback)
 	return c.err
 }
 
 func (c *validator) feedback(f Feedback) {
 	c.require(f.level <= MaxRank+1, "admission level %d is unknown", f.level) // MaxRank+1 admits no request
-	c.requireRange(int64(f.unusedRetries), 0, maxRetryAllowance, "unused retries")
-	c.requireRange(int64(f.occupancy.busy), 0, maxCapacity, "busy requests")
-	c.requireRange(int64(f.occupancy.limit), 0, maxCapacity, "concurrency limit")
-	c.requireRange(int64(f.waited), 0, int64(maxDuration), "waiting time")
+	c.requireRange(int64(f.unusedRetries), 0, MaxRetryAllowance, "unused retries")
+	c.requireRange(int64(f.occupancy.busy), 0, MaxCapacity, "busy requests")
+	c.requireRange(int64(f.occupancy.limit), 0, MaxCapacity, "concurrency limit")
+	c.requireRange(int64(f.waited), 0, int64(MaxDuration), "waiting time")
 	for i := range f.usage.length {
 		c.name(string(f.usage.services[i].service), "used service")
 	}
@@ -176,7 +198,7 @@
 	var c validator
 	c.require(r.reason != NoReason && r.reason <= Misconfigured, "reason %d is unknown", r.reason)
 	c.require(r.outcome == NotRun || r.outcome == Unknown, "outcome %d of a refusal: want not-run or unknown", r.outcome)
-	c.requireRange(int64(r.retryAfter), 0, int64(maxDuration), "retry delay")
+	c.requireRange(int64(r.retryAfter), 0, int64(MaxDuration), "retry delay")
 	c.status(r.status)
 	return c.err
 }
@@ -190,7 +212,7 @@
 func (f Frame) Check() error {
 	var c validator
 	c.requireNoError(f.from.Check(), "sender")
-	c.requireRange(int64(f.digest.sinceConfirmed), 0, int64(maxTime), "time since confirmation")
+	c.requireRange(int64(f.digest.sinceConfirmed), 0, int64(MaxTime), "time since confirmation")
 	c.message(f.message)
 	return c.err
 }
@@ -198,14 +220,16 @@
 func (c *validator) message(message Message) {
 	switch m := message.(type) {
 	case *Probe:
-		c.rumors(m.rumors, maxPiggybackedRumors)
+		c.rumors(m.rumors, MaxPiggybackedRumors)
 	case *ProbeAck:
-		c.rumors(m.rumors, maxPiggybackedRumors)
+		c.rumors(m.rumors, MaxPiggybackedRumors)
 	case *IndirectProbe:
 		c.requireNoError(m.target.Check(), "target")
 	case *Members:
 		c.require(!m.request || len(m.rumors) == 0, "request for members carries rumors")
-		c.rumors(m.rumors, maxMembers)
+		c.require(m.request || len(m.services) == 0, "members list names services: only a request may")
+		c.require(len(m.services) <= MaxRequestedServices, "request for members names %d services: want at most %d", len(m.services), MaxRequestedServices)
+		c.rumors(m.rumors, MaxMembers)
 	case *Leave, *RevisionNotice, *Promise:
 	case *Pull:
 		c.recordName(m.name)
@@ -220,26 +244,26 @@
 		c.name(string(m.dataCentre), "data centre")
 		c.ranges(m.ranges)
 	case *VoteRequest:
-		c.requireRange(int64(m.requestedAt), 0, int64(maxTime), "time of the vote request")
+		c.requireRange(int64(m.requestedAt), 0, int64(MaxTime), "time of the vote request")
 	case *Vote:
-		c.requireRange(int64(m.requestedAt), 0, int64(maxTime), "time of the vote request")
+		c.requireRange(int64(m.requestedAt), 0, int64(MaxTime), "time of the vote request")
 	case *TokenRequest:
 		c.shard(m.account, m.shard)
-		c.requireRange(m.tokens, 1, maxTokens, "requested tokens")
+		c.requireRange(m.tokens, 1, MaxTokens, "requested tokens")
 	case *TokenGrant:
 		c.shard(m.account, m.shard)
-		c.requireRange(m.tokens, 1, maxTokens, "granted tokens")
+		c.requireRange(m.tokens, 1, MaxTokens, "granted tokens")
 	case *TokenDenial:
 		c.shard(m.account, m.shard)
-		c.requireRange(int64(m.retryAfter), 0, int64(maxDuration), "retry delay")
+		c.requireRange(int64(m.retryAfter), 0, int64(MaxDuration), "retry delay")
 	case *UsageReport:
 		c.shard(m.account, m.shard)
-		c.requireRange(m.spent, 0, maxTokens, "spent tokens")
-		c.requireRange(m.returned, 0, maxTokens, "returned tokens")
+		c.requireRange(m.spent, 0, MaxTokens, "spent tokens")
+		c.requireRange(m.returned, 0, MaxTokens, "returned tokens")
 	case *Handover:
 		c.shard(m.account, m.shard)
-		c.requireRange(m.level, 0, maxTokens*1000, "token level")
-		c.requireRange(m.outstanding, 0, maxTokens, "outstanding tokens")
+		c.requireRange(m.level, 0, MaxTokens*1000, "token level")
+		c.requireRange(m.outstanding, 0, MaxTokens, "outstanding tokens")
 	case *StartRequest:
 		c.requestAndKey(m.request, m.key)
 		c.optionalName(string(m.account), "account")
@@ -255,8 +279,8 @@
 		c.status(m.status)
 	case *CrashReport:
 		c.node(m.node, "instance")
-		c.requireRange(int64(m.age), 0, int64(maxDuration), "age")
-		c.require(len(m.fingerprints) <= maxFingerprints, "%d fingerprints: want at most %d", len(m.fingerprints), maxFingerprints)
+		c.requireRange(int64(m.age), 0, int64(MaxDuration), "age")
+		c.require(len(m.fingerprints) <= MaxFingerprints, "%d fingerprints: want at most %d", len(m.fingerprints), MaxFingerprints)
 	default:
 		c.require(false, "message %T is unknown", message)
 	}
@@ -269,7 +293,7 @@
 
 func (c *validator) shard(account AccountName, index int) {
 	c.name(string(account), "account")
-	c.requireRange(int64(index), 0, maxShards-1, "shard")
+	c.requireRange(int64(index), 0, MaxShards-1, "shard")
 }
 
 func (c *validator) rumors(rumors []Rumor, limit int) {
@@ -319,8 +343,8 @@
 	switch {
 	case e.account != nil:
 		a := e.account
-		c.requireRange(a.rate, 1, maxTokens, "rate")
-		c.requireRange(a.burst, 1, maxTokens, "burst")
+		c.requireRange(a.rate, 1, MaxTokens, "rate")
+		c.requireRange(a.burst, 1, MaxTokens, "burst")
 		c.require(len(a.shares) <= maxShares, "%d shares: want at most %d", len(a.shares), maxShares)
 		for _, s := range a.shares {
 			c.name(string(s.dataCentre), "data centre")
@@ -338,9 +362,9 @@
 				c.name(string(d.service), "destination")
 				c.requireRange(int64(d.weight), 1, MaxWeight, "weight")
 			}
-			c.requireRange(int64(r.timeout), 0, int64(maxDuration), "timeout")
-			c.requireRange(int64(r.objective), 0, int64(maxDuration), "objective")
-			c.requireRange(int64(r.attempts), 0, maxRetryAllowance, "attempts")
+			c.requireRange(int64(r.timeout), 0, int64(MaxDuration), "timeout")
+			c.requireRange(int64(r.objective), 0, int64(MaxDuration), "objective")
+			c.requireRange(int64(r.attempts), 0, MaxRetryAllowance, "attempts")
 		}
 	case e.key != nil:
 		c.name(string(e.key.account), "account")
--- a/cmd/jackdawbridge/node.go
+++ b/cmd/jackdawbridge/node.go
@@ -302,6 +302,13 @@
 	return int(min(limit.Cur, math.MaxInt32))
 }
 
+// maxHeaderBytes is the maximum of the flag header-bytes.
+const maxHeaderBytes = 1 << 20
+
+// The head of each request that a listener takes fits a frame of a link, with a tag and a
+// length for each name and value: this fails to compile otherwise.
+const _ = uint(link.MaxPayload - maxHeaderBytes - 2*jackdawbridge.MaxHeaderFields*(1+3))
+
 // maxDuration is the maximum of every flag that holds a duration.
 const maxDuration = 24 * time.Hour
 
@@ -335,7 +342,7 @@
 		name             string
 		value, low, high int64
 	}{
-		{"header-bytes", int64(c.HeaderBytes), 1 << 10, 1 << 20},
+		{"header-bytes", int64(c.HeaderBytes), 1 << 10, maxHeaderBytes},
 		{"body-bytes", c.BodyBytes, 0, 1 << 40},
 		{"body-rate", c.BodyRate, 1, 1 << 30},
 		{"read-bytes", c.ReadBytes, 1 << 20, 1 << 40},
--- a/load.go
+++ b/load.go
@@ -54,7 +54,7 @@
 
 // NewBacklog returns the backlog of an upstream.
 func NewBacklog(work, perRequest Millis, pace int) Backlog {
-	return Backlog{work: min(max(work, 0), maxBacklog), perRequest: min(max(perRequest, 0), maxDuration), pace: min(max(pace, 1), maxPace)}
+	return Backlog{work: min(max(work, 0), maxBacklog), perRequest: min(max(perRequest, 0), MaxDuration), pace: min(max(pace, 1), maxPace)}
 }
 
 // IsZero reports whether b is unknown.
--- a/message_member.go
+++ b/message_member.go
@@ -33,7 +33,7 @@
 // Probe checks whether a member is alive. The member answers with a ProbeAck.
 type Probe struct {
 	sequence uint64
-	rumors   []Rumor // at most maxPiggybackedRumors
+	rumors   []Rumor // at most MaxPiggybackedRumors
 }
 
 // NewProbe returns a probe with piggybacked rumors.
@@ -50,7 +50,7 @@
 // ProbeAck answers a Probe, directly or through the node that relayed the probe.
 type ProbeAck struct {
 	sequence uint64
-	rumors   []Rumor // at most maxPiggybackedRumors
+	rumors   []Rumor // at most MaxPiggybackedRumors
 }
 
 // NewProbeAck returns the answer to the probe with the given number.
--- a/node/caller.go
+++ b/node/caller.go
@@ -81,6 +81,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := jackdawbridge.CheckHeader(head.Header()); err != nil {
+		return nil, err
+	}
 	requestBody, err := readBody(n.withdrawn, w, r, n.limits)
 	if err != nil {
 		return nil, err
--- a/node/script_test.go
+++ b/node/script_test.go
@@ -34,6 +34,15 @@
 				return showForwarded(t, d.Input)
 			case "read":
 				return showRead(t, d.Input)
+			case "fields": // reads a request with so many header fields that the largest number is forwarded, and more
+				more := 0
+				d.ScanArgs(t, "more", &more)
+				const added = 2 // the attempt id and the calling service
+				got := showRead(t, "Attempt-Id: id-1\n"+strings.Repeat("X-Field: x\n", jackdawbridge.MaxHeaderFields-added+more))
+				if strings.HasPrefix(got, "Attempt-Id: ") {
+					return "accepted"
+				}
+				return got
 			case "answer":
 				return showAnswer(t, d)
 			case "refusals":
--- a/slow_start.go
+++ b/slow_start.go
@@ -23,8 +23,8 @@
 	if service == "" {
 		return nil, errors.New("slow start has no service")
 	}
-	if time <= 0 || time > maxDuration {
-		return nil, errors.Errorf("slow start of %s takes %d ms: want 1 to %d", service, time, maxDuration)
+	if time <= 0 || time > MaxDuration {
+		return nil, errors.Errorf("slow start of %s takes %d ms: want 1 to %d", service, time, MaxDuration)
 	}
 	if !(rate > 0) || math.IsInf(rate, 0) {
 		return nil, errors.Errorf("slow start of %s has rate %g: want more than 0", service, rate)
--- a/wire/decode.go
+++ b/wire/decode.go
@@ -318,9 +318,6 @@
 		if len(rumors) > 0 {
 			d.fail(errors.New("request for members carries rumors"))
 		}
-		if len(services) > jackdawbridge.MaxRequestedServices {
-			d.fail(errors.Errorf("request for members names %d services: want at most %d", len(services), jackdawbridge.MaxRequestedServices))
-		}
 		return jackdawbridge.NewServiceMembersRequest(services)
 	}
 	if len(services) > 0 {
--- a/wire/request_head.go
+++ b/wire/request_head.go
@@ -10,19 +10,6 @@
 	"github.com/jackdawbridge/jackdawbridge/wire/pb"
 )
 
-// maxHeaderFields bounds the names and values of the header of one head, counted
-// together. A head of 32 KB, the default limit of the listeners for callers, has less.
-const maxHeaderFields = 32 << 10
-
-// checkFields returns an error if a header has more fields than a head may have. The
-// receiver would end the connection, and with it the other requests on it.
-func checkFields(fields []string) error {
-	if len(fields) > maxHeaderFields {
-		return errors.Errorf("header has %d names and values: want up to %d", len(fields), maxHeaderFields)
-	}
-	return nil
-}
-
 // EncodeForwardedRequest encodes the head of a request. It returns an error if the
 // head is not valid.
 func (Codec) EncodeForwardedRequest(request jackdawbridge.ForwardedRequest) ([]byte, error) {
@@ -33,9 +20,6 @@
 		Envelope: fromEnvelope(request.Envelope()), Method: request.Method(), Host: request.Host(),
 		Path: request.Path(), Query: request.Query(), Fields: fromHeader(request.Header()), Length: request.Length(),
 	}
-	if err := checkFields(head.Fields); err != nil {
-		return nil, errors.Errorf("encode forwarded request: %w", err)
-	}
 	data, err := head.MarshalVT()
 	if err != nil {
 		return nil, errors.Errorf("encode forwarded request: %w", err)
@@ -70,9 +54,6 @@
 	p := &pb.Reply{
 		Status: int64(r.Status()), Fields: fromHeader(r.Header()), Length: r.Length(),
 	}
-	if err := checkFields(p.Fields); err != nil {
-		return nil, errors.Errorf("encode reply: %w", err)
-	}
 	f := r.Feedback()
 	p.Level, p.Unused, p.Waited = uint32(f.Level()), int64(f.UnusedRetries()), int64(f.Waited())
 	p.Busy, p.Limit = int64(f.Occupancy().Busy()), int64(f.Occupancy().Limit())
@@ -197,8 +178,8 @@
 
 // header decodes a list of alternating names and values.
 func (d *decoder) header(fields []string) http.Header {
-	if len(fields)%2 != 0 || len(fields) > maxHeaderFields {
-		d.fail(errors.Errorf("header has %d names and values: want an even number up to %d", len(fields), maxHeaderFields))
+	if len(fields)%2 != 0 || len(fields) > 2*jackdawbridge.MaxHeaderFields {
+		d.fail(errors.Errorf("header has %d names and values: want an even number up to %d", len(fields), 2*jackdawbridge.MaxHeaderFields))
 		return nil
 	}
 	h := make(http.Header, len(fields)/2+2)
