rpc: a peer that does not answer leaves room for frames to the others

Cause: the bytes that wait for delivery were bounded for all peers together, and 16 frames of half a megabyte for one silent peer used them up. Frames to all other peers were refused until the calls to it had timed out.

Change: the frames for one peer take at most a quarter of the bytes. Constant expressions check that one frame of the largest size always fits, and that the receiver takes what the encoding adds to it.

Evidence: TestBusyPeer; before, "8388608 bytes are queued for all peers".

--- a/rpc/peer.go
+++ b/rpc/peer.go
@@ -18,6 +18,7 @@
 	address netip.AddrPort
 	conn    *grpc.ClientConn
 	queue   chan []byte // sealed frames
+	queued  int         // bytes in queue, at most maxPeerQueued; guarded by the mutex of the transport
 }
 
 // dial returns a client connection, which connects at its first call. The frames are
@@ -62,6 +63,7 @@
 	_, err := client.Deliver(ctx, &pb.Packet{Frame: frame})
 	t.mu.Lock()
 	t.queued -= len(frame)
+	p.queued -= len(frame)
 	t.mu.Unlock()
 	if err != nil {
 		t.lost.Inc(1)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -26,12 +26,17 @@
 const MaxFrame = 2 << 20
 
 const (
-	maxPacket   = MaxFrame + 64 // bytes, with the protobuf encoding around the frame
-	maxPeers    = 64            // connections to peers
-	maxVerified = 128           // connections on which a peer's frame has arrived
-	maxHeader   = 8 << 10       // bytes
-	queueLength = 16            // frames queued for one peer
-	maxQueued   = 8 << 20       // bytes queued for all peers; a quarter of the memory for a node's control state
+	maxPacket = MaxFrame + 64 // bytes, with the protobuf encoding around the frame
+	// packetOverhead is what the encoding adds to a frame: a tag and a length, in bytes.
+	packetOverhead = 1 + 5
+	maxPeers       = 64      // connections to peers
+	maxVerified    = 128     // connections on which a peer's frame has arrived
+	maxHeader      = 8 << 10 // bytes
+	queueLength    = 16      // frames queued for one peer
+	maxQueued      = 8 << 20 // bytes queued for all peers; a quarter of the memory for a node's control state
+	// maxPeerQueued is the number of bytes queued for one peer, so that a peer that does not
+	// answer leaves room for the others. One frame always fits.
+	maxPeerQueued = maxQueued / 4
 	// maxUnverified is the number of connections on which no peer's frame has arrived yet.
 	maxUnverified = 64
 	// maxUnverifiedBytes is the size of unfinished messages on these connections, in bytes.
@@ -42,6 +47,12 @@
 	idleTimeout        = 30 * time.Second
 )
 
+// These fail to compile if a sender may send more than its receiver takes.
+const (
+	_ = uint(maxPeerQueued - MaxFrame)
+	_ = uint(maxPacket - MaxFrame - packetOverhead)
+)
+
 // Transport sends frames over one connection to each peer and receives frames on one
 // listener.
 type Transport struct {
@@ -127,6 +138,9 @@
 		return errors.Errorf("rpc: %d bytes are queued for all peers: %w", t.queued, transport.ErrBusy)
 	}
 	p := t.peers[address]
+	if p != nil && p.queued+len(sealed) > maxPeerQueued {
+		return errors.Errorf("rpc: %d bytes are queued for %s: %w", p.queued, address, transport.ErrBusy)
+	}
 	if p == nil {
 		if len(t.peers) >= maxPeers {
 			return errors.Errorf("rpc: %d connections to peers are open: %w", len(t.peers), transport.ErrBusy)
@@ -142,6 +156,7 @@
 	select {
 	case p.queue <- sealed:
 		t.queued += len(sealed)
+		p.queued += len(sealed)
 		return nil
 	default:
 		return errors.Errorf("rpc: %d frames are queued for %s: %w", queueLength, address, transport.ErrBusy)
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// TestBusyPeer guards against a peer that does not answer and takes the memory for the frames
+// of all others.
+func TestBusyPeer(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // never accepts a connection
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close() //nolint:errcheck // nothing was written
+	r := newTransport(t)
+	defer r.Close() //nolint:errcheck // always nil
+	for err == nil {
+		err = r.SendSealed(peerAt(silent.Addr().(*net.TCPAddr).AddrPort()), make([]byte, MaxFrame/4))
+	}
+	if !errors.Is(err, transport.ErrBusy) {
+		t.Errorf("sends to a silent peer: error is %v: want %v", err, transport.ErrBusy)
+	}
+	if err := r.SendSealed(peerAt(r.Address()), make([]byte, MaxFrame)); err != nil {
+		t.Errorf("send to another peer: %v", err)
+	}
+}
+
 // TestVerifiedStays guards against a crowd of unverified connections that closes the
 // connection of a peer, and against one of which more than the limit stay open.
 func TestVerifiedStays(t *testing.T) {
