cmd/jackdawbridge: the soak draws sizes around bounds and checks undisturbed requests

Sizes of bodies were drawn evenly, so that a size at which the code changes what it does came up once in a hundred thousand. Half of the sizes of bodies, of their first parts and of answers are now within two bytes of a bound, which the code exports, and half of the pauses in a stop within 2 ms of its times. A request that ran while nobody stopped its entry node, the node of its upstream or the backend server has to get the backend server's answer.

--- a/cmd/jackdawbridge/soak_test.go
+++ b/cmd/jackdawbridge/soak_test.go
@@ -32,6 +32,7 @@
 
 const (
 	soakGrace     = 3 * time.Second
+	soakDrain     = time.Second
 	soakExitSlack = 2 * time.Second        // for the end of a process after soakGrace
 	soakLossSlack = 200 * time.Millisecond // after which a request that was sent has been read
 	soakClients   = 4                      // of each node
@@ -72,11 +73,12 @@
 	group sync.WaitGroup
 	end   time.Time // no disturbance and no request begins after it
 
-	mu       sync.Mutex      // also guards the processes of f
-	started  int             // processes started
-	backends []*process      // all backend servers that were started
-	requests []*soakRequest  // all requests of the clients
-	found    map[string]bool // violations
+	mu       sync.Mutex            // also guards the processes of f
+	started  int                   // processes started
+	backends []*process            // all backend servers that were started
+	requests []*soakRequest        // all requests of the clients
+	lives    map[string]*soakLives // by the first part of the names of the processes
+	found    map[string]bool       // violations
 }
 
 // soakRequest is a request as its client has seen it.
@@ -84,17 +86,19 @@
 	id, node   string
 	body       []byte
 	repeatable bool
+	began      time.Time // when its first byte was sent
 	sent       time.Time // when its last byte was sent, zero if it was not sent to its end
 	ended      time.Time // when its answer or its connection ended
 	status     int       // 0 without an answer
 	outcome    string    // of a refusal
 	killed     bool      // the process of its node was killed meanwhile
+	left       bool      // its client has closed the connection
 }
 
 // runSoak runs a fleet and returns the violations, or "" if there are none. The seed decides
 // on the kinds and the times of all disturbances and requests.
 func runSoak(t *testing.T, bin string, seed uint64, nodes int, length time.Duration) string {
-	s := &soak{f: newFleet(t, bin), found: make(map[string]bool)}
+	s := &soak{f: newFleet(t, bin), found: make(map[string]bool), lives: make(map[string]*soakLives)}
 	defer s.f.close()
 	random := rand.New(rand.NewPCG(seed, 0))
 	if err := s.startFleet(nodes); err != nil {
@@ -105,10 +109,10 @@
 	for i := range nodes {
 		name := fmt.Sprintf("n%d", i)
 		first, firstBackend := s.f.processes[name], s.f.processes["backend-"+name]
-		lives := &soakLives{s: s, name: name, process: name, random: rand.New(rand.NewPCG(seed, random.Uint64()))}
+		lives := s.addLives(name, name, rand.New(rand.NewPCG(seed, random.Uint64())))
 		s.group.Go(func() { lives.node(first) })
 		if firstBackend != nil {
-			lives := &soakLives{s: s, name: name, process: "backend-" + name, random: rand.New(rand.NewPCG(seed, random.Uint64()))}
+			lives := s.addLives(name, "backend-"+name, rand.New(rand.NewPCG(seed, random.Uint64())))
 			s.group.Go(func() { lives.backend(firstBackend) })
 		}
 		for range soakClients {
@@ -129,6 +133,13 @@
 	return strings.Join(lines, "\n")
 }
 
+// addLives adds the processes that take turns beside the node of the given name.
+func (s *soak) addLives(node, process string, random *rand.Rand) *soakLives {
+	lives := &soakLives{s: s, name: node, process: process, random: random}
+	s.lives[process] = lives
+	return lives
+}
+
 // startFleet starts the processes and waits until each node serves calls.
 func (s *soak) startFleet(nodes int) error {
 	f := s.f
@@ -137,7 +148,7 @@
 		return err
 	}
 	for i := range nodes {
-		if err := f.startNode(fmt.Sprintf("n%d", i), "tanger", "--grace-period="+soakGrace.String(), "--drain-period=1s"); err != nil {
+		if err := f.startNode(fmt.Sprintf("n%d", i), "tanger", "--grace-period="+soakGrace.String(), "--drain-period="+soakDrain.String()); err != nil {
 			return err
 		}
 	}
@@ -166,7 +177,7 @@
 }
 
 func (s *soak) backendArgs(node string) []string {
-	return []string{"backend", "--listen", s.f.freeAddress(), "--node", s.f.nodes[node].backend, "--service", "balancedesk", "--slots", "8", "--drain", "1s"}
+	return []string{"backend", "--listen", s.f.freeAddress(), "--node", s.f.nodes[node].backend, "--service", "balancedesk", "--slots", "8", "--drain", soakDrain.String()}
 }
 
 // changePlatform creates keys and takes the platform's service away until the run ends. Changes
@@ -213,7 +224,8 @@
 	random  *rand.Rand
 
 	mu    sync.Mutex
-	kills []time.Time // of the node
+	kills []time.Time // of the process
+	stops []time.Time // signals that end the process, and the starts of its successors, in turn
 }
 
 // pause waits for a random time up to limit and reports whether the run goes on.
@@ -222,6 +234,37 @@
 	return time.Now().Before(l.s.end)
 }
 
+// pauseInStop waits like pause. Half of the times are around those at which a process that
+// stops changes what it does.
+func (l *soakLives) pauseInStop(limit time.Duration) {
+	bounds := []time.Duration{0, soakDrain, soakGrace / 2}
+	if bound := bounds[l.random.IntN(len(bounds))]; bound <= limit && l.random.IntN(2) == 0 {
+		time.Sleep(bound + time.Duration(l.random.IntN(2*boundSlack+1)-boundSlack)*time.Millisecond)
+		return
+	}
+	l.pause(limit)
+}
+
+// mark records the begin or the end of the time in which the process is stopped and started
+// again.
+func (l *soakLives) mark(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stops = append(l.stops, at)
+}
+
+// disturbed reports whether the process was stopped or started again between two times.
+func (l *soakLives) disturbed(from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 0; i < len(l.stops); i += 2 {
+		if l.stops[i].Before(to) && (i+1 == len(l.stops) || l.stops[i+1].After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // live waits while a process runs and reports whether the run goes on. The process has
 // installed its signal handlers by then.
 func (l *soakLives) live() bool {
@@ -232,6 +275,7 @@
 // stop stops a process by one or two signals or kills it, and waits for its end.
 func (l *soakLives) stop(p *process) {
 	began := time.Now()
+	l.mark(began)
 	if l.random.IntN(5) == 0 {
 		l.mu.Lock()
 		l.kills = append(l.kills, began)
@@ -242,7 +286,7 @@
 	}
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	if l.random.IntN(3) == 0 {
-		l.pause(soakGrace / 2)
+		l.pauseInStop(soakGrace / 2)
 		_ = p.command.Process.Signal(syscall.SIGTERM)
 	}
 	select {
@@ -267,6 +311,7 @@
 		l.s.found["cannot start "+name+": "+err.Error()] = true
 		return nil
 	}
+	l.mark(time.Now())
 	return l.s.f.processes[name]
 }
 
@@ -277,7 +322,7 @@
 			_ = p.command.Process.Signal(syscall.SIGHUP)
 		}
 		l.stop(p)
-		l.pause(time.Second)
+		l.pauseInStop(time.Second)
 		p = l.restart(func(name string) error { return l.s.f.launch(name, p) })
 		if p == nil {
 			return
@@ -289,7 +334,7 @@
 func (l *soakLives) backend(p *process) {
 	for l.live() {
 		l.stop(p)
-		l.pause(time.Second)
+		l.pauseInStop(time.Second)
 		p = l.restart(func(name string) error {
 			if err := l.s.f.startStandin(name, l.s.backendArgs(l.name)...); err != nil {
 				return err
@@ -347,6 +392,9 @@
 	c.count++
 	r := &soakRequest{id: fmt.Sprintf("%s-%p-%d", c.lives.name, c, c.count), node: c.lives.name}
 	query := url.Values{"id": {r.id}, "sleep": {strconv.Itoa(c.random.IntN(400))}}
+	if c.random.IntN(32) == 0 {
+		query.Set("sleep", strconv.Itoa(int(soakDrain.Milliseconds())+c.random.IntN(2*boundSlack+1)-boundSlack))
+	}
 	u := &uploading{conn: c.conn, chunked: c.random.IntN(2) == 0}
 	method, path := "POST", "redeem"
 	switch c.random.IntN(4) {
@@ -355,19 +403,20 @@
 	case 1:
 		r.body = uploadBody(1 + c.random.IntN(1000))
 	case 2:
-		r.body = uploadBody(60_000 + c.random.IntN(400_000))
+		r.body = uploadBody(c.size(60_000, 460_000))
 	case 3:
-		r.body = uploadBody(60_000 + c.random.IntN(400_000))
-		size := 1 + c.random.IntN(300_000)
+		r.body = uploadBody(c.size(60_000, 460_000))
+		size := c.size(1, 300_000)
 		query.Set("size", strconv.Itoa(size))
 		query.Set("early", strconv.Itoa(c.random.IntN(2*size)))
 	}
 	u.body, u.stops = r.body, len(r.body)
-	u.first = min(len(r.body), 1+c.random.IntN(200_000))
+	u.first = min(len(r.body), c.size(1, 200_000))
 	u.head = fmt.Sprintf("%s /balancedesk/%s?%s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n", method, path, query.Encode(), c.s.f.keys["k"])
-	began := time.Now()
-	_ = c.conn.SetDeadline(began.Add(stepTimeout))
+	r.began = time.Now()
+	_ = c.conn.SetDeadline(r.began.Add(stepTimeout))
 	if c.random.IntN(20) == 0 {
+		r.left = true
 		time.AfterFunc(time.Duration(c.random.IntN(500))*time.Millisecond, func() { _ = u.conn.Close() })
 		_ = u.send()
 		_, _ = http.ReadResponse(c.reader, nil)
@@ -387,11 +436,21 @@
 	}
 	<-sent
 	r.ended = time.Now()
-	r.killed = c.lives.killedSince(began)
+	r.killed = c.lives.killedSince(r.began)
 	c.record(r)
 	return keep && !r.sent.IsZero()
 }
 
+// size draws a size in bytes. Half of the sizes are around a bound of bodies, the others
+// between low and high.
+func (c *soakClient) size(low, high int) int {
+	if c.random.IntN(2) == 0 {
+		return low + c.random.IntN(high-low)
+	}
+	bounds := bodyBounds()
+	return bounds[c.random.IntN(len(bounds))] + c.random.IntN(2*boundSlack+1) - boundSlack
+}
+
 func (c *soakClient) record(r *soakRequest) {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
@@ -413,6 +472,7 @@
 
 // soakRun is what a backend server reports of a request.
 type soakRun struct {
+	node  string // beside the backend server
 	URL   string
 	Sum   uint32
 	Whole bool
@@ -423,8 +483,9 @@
 func (s *soak) judge() {
 	runs := make(map[string][]soakRun)
 	for _, p := range s.backends {
+		node, _, _ := strings.Cut(strings.TrimPrefix(p.name, "backend-"), "-")
 		for line := range strings.Lines(p.out.String()) {
-			var run soakRun
+			run := soakRun{node: node}
 			if !strings.HasPrefix(line, `{"method"`) || json.Unmarshal([]byte(line), &run) != nil {
 				continue
 			}
@@ -465,8 +526,22 @@
 	if len(runs) > 0 && r.outcome == "not-run" && !r.repeatable {
 		s.report("%s: ran and was refused as not run", r.id)
 	}
+	if len(runs) > 0 && r.status != http.StatusOK && !r.left && !s.disturbed(r, runs) {
+		s.report("%s: answered %d %s after %v, and it ran while nobody disturbed it", r.id, r.status, r.outcome, r.ended.Sub(r.began).Round(time.Millisecond))
+	}
 	late := r.ended.Sub(r.sent) > soakLossSlack
 	if r.status == 0 && !r.sent.IsZero() && !r.killed && (late || len(runs) > 0) {
 		s.report("%s: no answer %v after it was sent, runs: %d", r.id, r.ended.Sub(r.sent).Round(time.Millisecond), len(runs))
 	}
 }
+
+// disturbed reports whether a process that has taken part in a request was stopped or started
+// again meanwhile.
+func (s *soak) disturbed(r *soakRequest, runs []soakRun) bool {
+	if s.lives[r.node].disturbed(r.began, r.ended) {
+		return true
+	}
+	return slices.ContainsFunc(runs, func(run soakRun) bool {
+		return s.lives[run.node].disturbed(r.began, r.ended) || s.lives["backend-"+run.node].disturbed(r.began, r.ended)
+	})
+}
