link: an answer that was received in full leaves no expected strays

Cause: a request was taken out of the requests in progress just before its answer was marked as ended, so that a window more was expected for each answer in order. After some thousand requests a peer could send half a gigabyte for ended requests before its connection was closed, and not 8 MB.

Evidence: link script strays-client; before, the connection stayed open.

--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -272,7 +272,11 @@
 		return false
 	}
 	delete(c.requests, r.id)
-	c.strays.endRequest(r.flow)
+	if r.answered {
+		c.strays.restore()
+	} else {
+		c.strays.endRequest(r.flow)
+	}
 	return true
 }
 
@@ -280,8 +284,8 @@
 type outboundRequest struct {
 	conn          *clientConn
 	id            uint32
-	request       jackdawbridge.RequestID
-	offset        uint64 // where the request begins in the bytes written to the connection
+	request       jackdawbridge.RequestID // for the log
+	offset        uint64                  // where the request begins in the bytes written to the connection
 	flow          *flow
 	detachContext func() bool   // detaches the request from the caller's context
 	answered      bool          // the whole answer has arrived; guarded by conn.mu
--- a/link/raw_test.go
+++ b/link/raw_test.go
@@ -235,6 +235,9 @@
 	case "active": // waits for a number of handlers
 		want := number(t, d.CmdArgs[0].Key)
 		f.await("handlers", func() bool { return int(f.active.Load()) == want })
+	case "lost": // waits until the pool has lost a number of connections
+		want := int64(number(t, d.CmdArgs[0].Key))
+		f.await("lost connections", func() bool { return gometrics.GetOrRegisterCounter("link.lost", f.registry).Count() == want })
 	case "counts": // shows what was counted
 		var lines []string
 		for _, name := range []string{"link.aborted", "link.broken", "link.invalid", "link.lost", "link.rejected"} {
--- a/link/strays.go
+++ b/link/strays.go
@@ -20,15 +20,18 @@
 	used   int // of the slack, from 0 to maxStraySlack
 }
 
-// endRequest accounts for a request that has ended, of whose body the peer may have sent
-// the rest.
+// endRequest accounts for a request that has ended. If the peer has not ended its body, it may
+// have sent what it had credit for.
 func (s *strays) endRequest(f *flow) {
 	if bytes, open := f.receivable(); open {
 		s.credit = min(s.credit+2*bytes+2, maxStrayCredit) // the bytes, each in a frame, the head and the end
 	}
-	s.used = max(s.used-window, 0)
+	s.restore()
 }
 
+// restore restores a part of the slack after a request.
+func (s *strays) restore() { s.used = max(s.used-window, 0) }
+
 // add accounts for a frame that is dropped. Frames that this side may still cause after the
 // end of a request cost nothing.
 func (s *strays) add(h frameHeader) error {
