--- a/link/raw_test.go
+++ b/link/raw_test.go
@@ -202,9 +202,10 @@
 		count, size := 1, 0
 		d.MaybeScanArgs(t, "count", &count)
 		d.MaybeScanArgs(t, "size", &size)
+		streamed := d.HasArg("streamed")
 		for range count {
 			f.calls.Go(func() {
-				end := f.send(context.Background(), f.raw.address(), "/raw", size, d.HasArg("streamed"))
+				end := f.send(context.Background(), f.raw.address(), "/raw", size, streamed)
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.ends = append(f.ends, end)
