--- a/link/raw_test.go
+++ b/link/raw_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// acceptRaw listens as a peer, which accepts its first connection in the background.
+// acceptRaw listens as a peer. Its connection is accepted by awaitRequests.
 func (f *fixture) acceptRaw() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
