--- a/link/client_conn.go
+++ b/link/client_conn.go
@@ -316,11 +316,7 @@
 	case kindData:
 		return r.receive(payload, h.endsBody())
 	case kindCredit:
-		n, err := readCredit(payload)
-		if err != nil {
-			return err
-		}
-		r.flow.grant(n)
+		return r.flow.addCredit(payload)
 	case kindReset:
 		r.conn.remove(r)
 		r.fail(errReset)
--- a/link/flow.go
+++ b/link/flow.go
@@ -140,6 +140,15 @@
 	return f.requested && !f.ended && f.err == nil
 }
 
+// addCredit adds the credit of a credit frame.
+func (f *flow) addCredit(payload []byte) error {
+	n, err := readCredit(payload)
+	if err == nil {
+		f.grant(n)
+	}
+	return err
+}
+
 // grant adds credit for n more bytes to be sent, up to the window.
 func (f *flow) grant(n int) {
 	f.mu.Lock()
