cmd/jackdawbridge: a test no longer notes the end of a body after the answer to it

Cause: the client noted that it had sent a body with a length after the last write, and the answer can end between the two. With a pause of 30 ms in that place the script fails in the same way each time (at its first answer that ends with the body), and passes with the note taken before the last write, as it is for bodies in chunks. An answer that ends before the client sends its last part is found as before.

--- a/cmd/jackdawbridge/upload_test.go
+++ b/cmd/jackdawbridge/upload_test.go
@@ -138,7 +138,7 @@
 	body           []byte
 	first, stops   int // bytes of the body
 	chunked, next  bool
-	sent           atomic.Bool // the whole body has been sent
+	sent           atomic.Bool // the last part of the body, or its end, is being sent
 }
 
 // readAnswer reads the next final answer and describes it.
@@ -186,6 +186,8 @@
 		piece := u.body[at:end]
 		if u.chunked {
 			piece = fmt.Appendf(nil, "%x\r\n%s\r\n", len(piece), piece)
+		} else if end == len(u.body) {
+			u.sent.Store(true) // before the write, behind which the answer may end at once
 		}
 		if _, err := u.conn.Write(piece); err != nil {
 			return errors.Errorf("send body: %w", err)
